--- /dev/null
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Load profiles, benches and the history checker. */
+package org.skylarkmast.bench;
--- /dev/null
+++ b/skylarkmast-cli/src/main/java/org/skylarkmast/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command-line tool of operators. */
+package org.skylarkmast.cli;
--- /dev/null
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/json/package-info.java
@@ -0,0 +1,2 @@
+/** The one JSON codec for journal records, forwarded calls and objects. */
+package org.skylarkmast.core.json;
--- /dev/null
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/SchedulingAction.java
@@ -0,0 +1,40 @@
+package org.skylarkmast.core.scheduling;
+
+import org.skylarkmast.core.program.ProgramKey;
+
+/** What the scheduler wants done. */
+public sealed interface SchedulingAction {
+
+    /**
+     * Sends a call to a runner.
+     *
+     * @param attempt 1 for the first send
+     */
+    record Dispatch(long callId, String runner, int attempt) implements SchedulingAction {}
+
+    /**
+     * Ends a call that was never sent to any runner.
+     *
+     * @param retryAfterMs when the caller should come back, above 0
+     */
+    record Refuse(long callId, RefusalReason reason, long retryAfterMs)
+            implements SchedulingAction {}
+
+    /**
+     * Ends a call whose attempts failed.
+     *
+     * @param retryAfterMs when the caller should come back, above 0
+     */
+    record GiveUp(long callId, CallFailure lastFailure, long retryAfterMs)
+            implements SchedulingAction {}
+
+    /** Cancels an attempt under way. */
+    record CancelAttempt(long callId, String runner) implements SchedulingAction {}
+
+    /** Asks a runner to drop what it holds for a program; repeated until confirmed. */
+    record ReleaseCache(String runner, ProgramKey program) implements SchedulingAction {}
+
+    /** Asks {@code toRunner} to import the program's cached prefix from {@code fromRunner}. */
+    record MoveCache(ProgramKey program, String fromRunner, String toRunner)
+            implements SchedulingAction {}
+}
--- /dev/null
+++ b/skylarkmast-standins/src/main/java/org/skylarkmast/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Small stand-ins of the platform and of targets, runnable as processes. */
+package org.skylarkmast.standins;
