--- /dev/null
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpServer.java
@@ -0,0 +1,300 @@
+package org.skylarkmast.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.bootstrap.ServerBootstrap;
+import org.apache.hc.core5.http.impl.io.DefaultBHttpServerConnection;
+import org.apache.hc.core5.http.io.HttpRequestHandler;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.http.io.entity.HttpEntityWrapper;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.util.Timeout;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A blocking HTTP/1.1 server.
+ *
+ * <p>Thread-safe. Each connection has a thread of its own.
+ */
+public final class HttpServer implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
+
+    /** Silence after which a caller's connection is closed. */
+    private static final int IDLE_TIMEOUT_MS = 60_000;
+
+    private static final int MAX_HEADER_BYTES = 16_384;
+    private static final int MAX_HEADERS = 100;
+    private static final long DRAIN_POLL_MS = 5;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
+    private final int maxBodyBytes;
+    private final HttpHandler handler;
+    private final AtomicInteger underWay = new AtomicInteger();
+    private final AtomicBoolean draining = new AtomicBoolean();
+    private final org.apache.hc.core5.http.impl.bootstrap.HttpServer server;
+
+    private HttpServer(String host, int port, int maxBodyBytes, HttpHandler handler)
+            throws IOException {
+        this.maxBodyBytes = maxBodyBytes;
+        this.handler = handler;
+        HttpRequestHandler all = this::serve;
+        this.server =
+                ServerBootstrap.bootstrap()
+                        .setLocalAddress(InetAddress.getByName(host))
+                        .setListenerPort(port)
+                        .setSocketConfig(
+                                SocketConfig.custom()
+                                        .setSoTimeout(Timeout.ofMilliseconds(IDLE_TIMEOUT_MS))
+                                        .setTcpNoDelay(true)
+                                        .build())
+                        .setHttp1Config(limits())
+                        .setConnectionFactory(HttpServer::connect)
+                        .setRequestRouter((request, context) -> all)
+                        .create();
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param host IP address to listen on
+     * @param port port to listen on, or 0 for a free one
+     * @param maxBodyBytes larger bodies are answered 413
+     * @throws IOException if the address cannot be bound
+     */
+    public static HttpServer start(String host, int port, int maxBodyBytes, HttpHandler handler)
+            throws IOException {
+        HttpServer started = new HttpServer(host, port, maxBodyBytes, handler);
+        started.server.start();
+        return started;
+    }
+
+    /** The port it listens on. */
+    public int port() {
+        return server.getLocalPort();
+    }
+
+    /** Requests being answered now. */
+    public int underWay() {
+        return underWay.get();
+    }
+
+    /**
+     * Lets requests under way end, then closes.
+     *
+     * <p>Until then requests are still taken, each on its connection's last turn, so that a caller
+     * that has not yet noticed is answered and not cut.
+     *
+     * @param graceMs longest time to wait
+     */
+    public void drain(long graceMs) {
+        draining.set(true);
+        long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(graceMs);
+        try {
+            while (underWay.get() > 0 && System.nanoTime() < deadlineNs) {
+                Thread.sleep(DRAIN_POLL_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        close();
+    }
+
+    @Override
+    public void close() {
+        server.close(CloseMode.IMMEDIATE);
+    }
+
+    private static Http1Config limits() {
+        return Http1Config.custom()
+                .setMaxLineLength(MAX_HEADER_BYTES)
+                .setMaxHeaderCount(MAX_HEADERS)
+                .build();
+    }
+
+    private static DefaultBHttpServerConnection connect(Socket socket) throws IOException {
+        DefaultBHttpServerConnection connection = new CuttingConnection();
+        connection.bind(socket);
+        return connection;
+    }
+
+    private void serve(
+            ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context)
+            throws HttpException, IOException {
+        underWay.incrementAndGet();
+        boolean handedOver = false;
+        try {
+            HttpReply reply = reply(request);
+            if (draining.get()) {
+                response.setHeader("Connection", "close");
+            }
+            handedOver = write(request, reply, response);
+        } finally {
+            if (!handedOver) {
+                underWay.decrementAndGet();
+            }
+        }
+    }
+
+    private HttpReply reply(ClassicHttpRequest request) throws IOException {
+        byte[] body = readBody(request.getEntity());
+        if (body == null) {
+            return HttpReply.text(413, "body is larger than " + maxBodyBytes + " bytes\n");
+        }
+        HttpCall call;
+        try {
+            call = toCall(request, body);
+        } catch (IllegalArgumentException | java.net.URISyntaxException e) {
+            return HttpReply.text(400, "malformed request target\n");
+        }
+        try {
+            return handler.handle(call);
+        } catch (RuntimeException e) {
+            LOG.atError()
+                    .addKeyValue("event", "request_handler_failed")
+                    .addKeyValue("method", call.method())
+                    .addKeyValue("path", call.path())
+                    .setCause(e)
+                    .log();
+            return HttpReply.text(500, "internal error\n");
+        }
+    }
+
+    private byte[] readBody(HttpEntity entity) throws IOException {
+        if (entity == null) {
+            return new byte[0];
+        }
+        try (InputStream in = entity.getContent()) {
+            byte[] body = in.readNBytes(maxBodyBytes + 1);
+            return body.length > maxBodyBytes ? null : body;
+        }
+    }
+
+    private static HttpCall toCall(ClassicHttpRequest request, byte[] body)
+            throws java.net.URISyntaxException {
+        URI uri = new URI(request.getRequestUri());
+        Map<String, String> headers = new HashMap<>();
+        for (Header header : request.getHeaders()) {
+            headers.putIfAbsent(header.getName().toLowerCase(Locale.ROOT), header.getValue());
+        }
+        String path = uri.getPath() == null ? "/" : uri.getPath();
+        return new HttpCall(request.getMethod(), path, query(uri.getRawQuery()), headers, body);
+    }
+
+    private static Map<String, String> query(String rawQuery) {
+        Map<String, String> query = new HashMap<>();
+        if (rawQuery == null) {
+            return query;
+        }
+        for (String pair : rawQuery.split("&", -1)) {
+            int equals = pair.indexOf('=');
+            String name = equals < 0 ? pair : pair.substring(0, equals);
+            String value = equals < 0 ? "" : pair.substring(equals + 1);
+            query.putIfAbsent(decode(name), decode(value));
+        }
+        return query;
+    }
+
+    private static String decode(String encoded) {
+        return URLDecoder.decode(encoded, StandardCharsets.UTF_8);
+    }
+
+    /** Returns whether a body will be written, whose end then ends the count of the request. */
+    private boolean write(
+            ClassicHttpRequest request, HttpReply reply, ClassicHttpResponse response) {
+        switch (reply) {
+            case HttpReply.Full full -> {
+                response.setCode(full.status());
+                full.headers().forEach(response::setHeader);
+                HttpEntity entity =
+                        new ByteArrayEntity(full.body(), ContentType.parse(full.contentType()));
+                response.setEntity(new CountedEntity(entity, entity::writeTo));
+            }
+            case HttpReply.Streamed streamed -> {
+                response.setCode(streamed.status());
+                streamed.headers().forEach(response::setHeader);
+                HttpEntity entity =
+                        new ByteArrayEntity(
+                                new byte[0], ContentType.parse(streamed.contentType()), true);
+                response.setEntity(new CountedEntity(entity, streamed.body()));
+            }
+        }
+        int status = response.getCode();
+        if (status == NO_CONTENT || status == NOT_MODIFIED || request.getMethod().equals("HEAD")) {
+            response.setEntity(null);
+            return false;
+        }
+        return true;
+    }
+
+    /** An entity whose writing ends the count of its request. */
+    private final class CountedEntity extends HttpEntityWrapper {
+        private final HttpReply.StreamBody body;
+
+        CountedEntity(HttpEntity described, HttpReply.StreamBody body) {
+            super(described);
+            this.body = body;
+        }
+
+        @Override
+        public void writeTo(OutputStream out) throws IOException {
+            try {
+                body.writeTo(out);
+                out.flush();
+            } finally {
+                underWay.decrementAndGet();
+            }
+        }
+    }
+
+    /** Cuts the connection when a body fails midway, so that no end mark is written after it. */
+    private static final class CuttingConnection extends DefaultBHttpServerConnection {
+
+        CuttingConnection() {
+            super("http", limits());
+        }
+
+        @Override
+        public void sendResponseEntity(ClassicHttpResponse response)
+                throws HttpException, IOException {
+            HttpEntity entity = response.getEntity();
+            if (entity != null) {
+                response.setEntity(
+                        new HttpEntityWrapper(entity) {
+                            @Override
+                            public void writeTo(OutputStream out) throws IOException {
+                                try {
+                                    super.writeTo(out);
+                                } catch (IOException | RuntimeException e) {
+                                    CuttingConnection.this.close(CloseMode.IMMEDIATE);
+                                    throw e;
+                                }
+                            }
+                        });
+            }
+            super.sendResponseEntity(response);
+        }
+    }
+}
--- /dev/null
+++ b/skylarkmast-http/src/test/java/org/skylarkmast/http/HttpServerTest.java
@@ -0,0 +1,109 @@
+package org.skylarkmast.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class HttpServerTest {
+    private static final int MAX_BODY_BYTES = 1_000;
+    private static final long TIMEOUT_MS = 20_000;
+
+    private final HttpClient client = new HttpClient(4, 5_000);
+
+    @AfterEach
+    void closeClient() {
+        client.close();
+    }
+
+    @Test
+    void answersWhatTheHandlerReturns() throws IOException {
+        try (HttpServer server =
+                start(call -> HttpReply.json(201, "{\"q\":\"" + call.query().get("q") + "\"}"))) {
+            HttpOutcome outcome =
+                    client.send(HttpSend.get(address(server), "/a?q=x%20y", TIMEOUT_MS));
+            HttpOutcome.Answered answered = (HttpOutcome.Answered) outcome;
+            assertThat(answered.status()).isEqualTo(201);
+            assertThat(answered.text()).isEqualTo("{\"q\":\"x y\"}");
+        }
+    }
+
+    @Test
+    void streamsLinesAndReusesTheConnection() throws IOException {
+        try (HttpServer server = start(call -> streamed(out -> out.write(bytes("a\nb\n"))))) {
+            for (int i = 0; i < 3; i++) {
+                List<String> lines = new ArrayList<>();
+                HttpOutcome outcome =
+                        client.stream(
+                                HttpSend.get(address(server), "/", TIMEOUT_MS),
+                                new AbortSignal(),
+                                lines::add);
+                assertThat(outcome).isInstanceOf(HttpOutcome.Answered.class);
+                assertThat(lines).containsExactly("a", "b").inOrder();
+            }
+        }
+    }
+
+    @Test
+    void neverPassesACutBodyForAWholeOne() throws IOException {
+        HttpReply.StreamBody cut =
+                out -> {
+                    out.write(bytes("a\n"));
+                    out.flush();
+                    throw new IOException("target went away");
+                };
+        try (HttpServer server = start(call -> streamed(cut))) {
+            HttpOutcome outcome =
+                    client.stream(
+                            HttpSend.get(address(server), "/", TIMEOUT_MS),
+                            new AbortSignal(),
+                            line -> true);
+            assertThat(outcome).isInstanceOf(HttpOutcome.Broken.class);
+        }
+    }
+
+    @Test
+    void refusesABodyOverTheLimitAndStaysUp() throws IOException {
+        try (HttpServer server = start(call -> HttpReply.text(200, "ok"))) {
+            assertThat(post(server, MAX_BODY_BYTES + 1)).isEqualTo(413);
+            assertThat(post(server, MAX_BODY_BYTES)).isEqualTo(200);
+        }
+    }
+
+    @Test
+    void saysThatARequestWasNotSentWhenNobodyListens() throws IOException {
+        HttpServer server = start(call -> HttpReply.text(200, "ok"));
+        String address = address(server);
+        server.close();
+        assertThat(client.send(HttpSend.get(address, "/", TIMEOUT_MS)))
+                .isInstanceOf(HttpOutcome.NotSent.class);
+    }
+
+    private int post(HttpServer server, int bytes) {
+        HttpSend send =
+                new HttpSend(
+                        address(server), "POST", "/", Map.of(), new byte[bytes], TIMEOUT_MS, true);
+        return ((HttpOutcome.Answered) client.send(send)).status();
+    }
+
+    private static HttpReply streamed(HttpReply.StreamBody body) {
+        return new HttpReply.Streamed(200, Map.of(), "text/plain", body);
+    }
+
+    private static HttpServer start(HttpHandler handler) throws IOException {
+        return HttpServer.start("127.0.0.1", 0, MAX_BODY_BYTES, handler);
+    }
+
+    private static String address(HttpServer server) {
+        return "127.0.0.1:" + server.port();
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
