[core] Move ProgramKey to a package of its own

Programs tell the scheduler of calls and the scheduler names programs: with the key among the programs the two slices would form a circle, which ArchitectureTest refuses.

--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramKey.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/key/ProgramKey.java
@@ -1,4 +1,4 @@
-package org.skylarkmast.core.program;
+package org.skylarkmast.core.key;
 
 import java.nio.charset.StandardCharsets;
 import java.util.zip.CRC32C;
--- /dev/null
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/key/package-info.java
@@ -0,0 +1,2 @@
+/** Identities shared by the slices. */
+package org.skylarkmast.core.key;
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/CallSubmission.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/CallSubmission.java
@@ -1,6 +1,6 @@
 package org.skylarkmast.core.scheduling;
 
-import org.skylarkmast.core.program.ProgramKey;
+import org.skylarkmast.core.key.ProgramKey;
 
 /**
  * A call that is ready to run: its program's earlier calls have ended and its budget is reserved.
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/SchedulingAction.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/SchedulingAction.java
@@ -1,6 +1,6 @@
 package org.skylarkmast.core.scheduling;
 
-import org.skylarkmast.core.program.ProgramKey;
+import org.skylarkmast.core.key.ProgramKey;
 
 /** What the scheduler wants done. */
 public sealed interface SchedulingAction {
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/SchedulingEvent.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/SchedulingEvent.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.skylarkmast.core.config.Configuration;
-import org.skylarkmast.core.program.ProgramKey;
+import org.skylarkmast.core.key.ProgramKey;
 
 /** What the scheduler is told. */
 public sealed interface SchedulingEvent {
--- a/skylarkmast-core/src/test/java/org/skylarkmast/core/program/ProgramKeyTest.java
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/key/ProgramKeyTest.java
@@ -1,4 +1,4 @@
-package org.skylarkmast.core.program;
+package org.skylarkmast.core.key;
 
 import static com.google.common.truth.Truth.assertThat;
 
