[config] Parse, check and compare operators' objects

Objects have a JSON form (a list; comments allowed) with a canonical writer. The parser lists every problem with source, index, path and expectation; the validator checks the whole set: references, duplicate names, runner names and addresses over all targets, and bearer keys that two workspaces would share. No kind refers back to one that refers to it, so no reference cycle can form and none is looked for.

The six object records now implement the sealed ConfigurationObject; nothing else of them changed.

--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/config/Budget.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/config/Budget.java
@@ -8,4 +8,5 @@
  * @param grantTokens tokens committed to the journal at a time; larger saves store writes, smaller
  *     strands less after a crash; above 0
  */
-public record Budget(String name, long tokens, int serviceCalls, long grantTokens) {}
+public record Budget(String name, long tokens, int serviceCalls, long grantTokens)
+        implements ConfigurationObject {}
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/config/Configuration.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/config/Configuration.java
@@ -1,7 +1,13 @@
 package org.skylarkmast.core.config;
 
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * One whole, checked set of objects; every map is keyed by the object's name.
@@ -30,10 +36,50 @@
         priorities = Map.copyOf(priorities);
     }
 
+    /**
+     * Builds a set from its objects.
+     *
+     * @throws IllegalStateException if two objects of one kind have the same name
+     */
+    public static Configuration of(
+            long revision, Collection<? extends ConfigurationObject> objects) {
+        return new Configuration(
+                revision,
+                ofType(objects, Workspace.class),
+                ofType(objects, ProgramTemplate.class),
+                ofType(objects, Target.class),
+                ofType(objects, Model.class),
+                ofType(objects, Budget.class),
+                ofType(objects, Priority.class));
+    }
+
+    /** All objects in the order of kind and name. */
+    public List<ConfigurationObject> objects() {
+        return Stream.of(workspaces, programs, targets, models, budgets, priorities)
+                .flatMap(byName -> byName.values().stream())
+                .map(ConfigurationObject.class::cast)
+                .sorted(Comparator.comparing(ConfigurationObject::objectName))
+                .toList();
+    }
+
+    /** The same objects under another revision. */
+    public Configuration withRevision(long otherRevision) {
+        return new Configuration(
+                otherRevision, workspaces, programs, targets, models, budgets, priorities);
+    }
+
     /** The workspace whose list of key digests holds {@code keySha256}, a lower-case hex digest. */
     public Optional<Workspace> workspaceOfKey(String keySha256) {
         return workspaces.values().stream()
                 .filter(workspace -> workspace.keySha256().contains(keySha256))
                 .findFirst();
     }
+
+    private static <T extends ConfigurationObject> Map<String, T> ofType(
+            Collection<? extends ConfigurationObject> objects, Class<T> type) {
+        return objects.stream()
+                .filter(type::isInstance)
+                .map(type::cast)
+                .collect(Collectors.toMap(ConfigurationObject::name, Function.identity()));
+    }
 }
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/config/Model.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/config/Model.java
@@ -7,4 +7,5 @@
  * @param contextTokens most tokens of prompt and answer together, above 0
  * @param maxOutputTokens most tokens of one answer, above 0
  */
-public record Model(String name, String version, int contextTokens, int maxOutputTokens) {}
+public record Model(String name, String version, int contextTokens, int maxOutputTokens)
+        implements ConfigurationObject {}
--- /dev/null
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/config/ObjectName.java
@@ -0,0 +1,24 @@
+package org.skylarkmast.core.config;
+
+import java.util.Comparator;
+
+/**
+ * The identity of an object: names are unique within a kind.
+ *
+ * @param kind kind of the object
+ * @param name its name
+ */
+public record ObjectName(ObjectKind kind, String name) implements Comparable<ObjectName> {
+    private static final Comparator<ObjectName> ORDER =
+            Comparator.comparing(ObjectName::kind).thenComparing(ObjectName::name);
+
+    @Override
+    public int compareTo(ObjectName other) {
+        return ORDER.compare(this, other);
+    }
+
+    @Override
+    public String toString() {
+        return kind + "/" + name;
+    }
+}
--- /dev/null
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/config/ParseOutcome.java
@@ -0,0 +1,23 @@
+package org.skylarkmast.core.config;
+
+import java.util.List;
+
+/** What became of the text of declared objects. */
+public sealed interface ParseOutcome {
+
+    /** All objects are well formed; references between them are not checked yet. */
+    record Parsed(List<DeclaredObject> objects) implements ParseOutcome {
+
+        public Parsed {
+            objects = List.copyOf(objects);
+        }
+    }
+
+    /** The text is not a list of well-formed objects; every problem is listed. */
+    record Rejected(List<Problem> problems) implements ParseOutcome {
+
+        public Rejected {
+            problems = List.copyOf(problems);
+        }
+    }
+}
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/config/Priority.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/config/Priority.java
@@ -6,4 +6,4 @@
  * @param level larger goes first
  * @param maxWaitMs time a call may wait in the queue before it is refused, above 0
  */
-public record Priority(String name, int level, long maxWaitMs) {}
+public record Priority(String name, int level, long maxWaitMs) implements ConfigurationObject {}
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/config/ProgramTemplate.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/config/ProgramTemplate.java
@@ -25,7 +25,8 @@
         int maxTurns,
         int maxSubAgentDepth,
         long callTimeoutMs,
-        long idleExpiryMs) {
+        long idleExpiryMs)
+        implements ConfigurationObject {
 
     public ProgramTemplate {
         models = List.copyOf(models);
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/config/Target.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/config/Target.java
@@ -18,7 +18,8 @@
         List<Runner> runners,
         List<Operation> operations,
         boolean checksEpoch,
-        boolean supportsLookup) {
+        boolean supportsLookup)
+        implements ConfigurationObject {
 
     public Target {
         models = List.copyOf(models);
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/config/Workspace.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/config/Workspace.java
@@ -18,7 +18,8 @@
         double weight,
         int maxConcurrentCalls,
         int maxQueuedCalls,
-        double cacheWeight) {
+        double cacheWeight)
+        implements ConfigurationObject {
 
     public Workspace {
         keySha256 = List.copyOf(keySha256);
