--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/journal/AppendOutcome.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/journal/AppendOutcome.java
@@ -15,6 +15,11 @@
      */
     record Copied(int copies) implements AppendOutcome {}
 
-    /** Another node owns the partition now; the record will never be committed. Final. */
+    /**
+     * Another node owns the partition now; this node will not commit the record. Final.
+     *
+     * <p>If an answer of the key-value service was lost and the new owner has trimmed its journal
+     * since, the new owner may still have replayed the record.
+     */
     record Fenced() implements AppendOutcome {}
 }
--- /dev/null
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/journal/SnapshotHead.java
@@ -0,0 +1,14 @@
+package org.skylarkmast.core.journal;
+
+/**
+ * Names the snapshot that is in force for a partition.
+ *
+ * @param generation number of the snapshot; grows with every attempt of an owner
+ * @param chunkCount chunks that belong to it; further stored chunks are left-overs
+ * @param throughSequence last record whose effect the snapshot holds
+ */
+public record SnapshotHead(long generation, int chunkCount, long throughSequence) {
+
+    /** The head of a partition without a snapshot. */
+    public static final SnapshotHead NONE = new SnapshotHead(0, 0, 0);
+}
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/store/StoreKeys.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/store/StoreKeys.java
@@ -35,9 +35,38 @@
         return JOURNAL + String.format("%03d/", partition);
     }
 
-    /** Key of one journal record; key order is the order of the records. */
-    public static String journalRecord(int partition, long sequence) {
-        return journalOf(partition) + String.format("%016x", sequence);
+    /** Prefix of the batches of records of a partition. */
+    public static String journalRecords(int partition) {
+        return journalOf(partition) + "r/";
+    }
+
+    /** Key of the batch whose last record is {@code lastSequence}; key order is batch order. */
+    public static String journalRecord(int partition, long lastSequence) {
+        return journalRecords(partition) + hex(lastSequence);
+    }
+
+    /** Key of the head, which names the snapshot in force. */
+    public static String journalHead(int partition) {
+        return journalOf(partition) + "head";
+    }
+
+    /** Prefix of the snapshots of a partition. */
+    public static String journalSnapshots(int partition) {
+        return journalOf(partition) + "s/";
+    }
+
+    /** Prefix of the chunks of one snapshot. */
+    public static String journalSnapshot(int partition, long generation) {
+        return journalSnapshots(partition) + hex(generation) + "/";
+    }
+
+    /** Key of one chunk of a snapshot; key order is chunk order. */
+    public static String journalChunk(int partition, long generation, int index) {
+        return journalSnapshot(partition, generation) + String.format("%08x", index);
+    }
+
+    private static String hex(long number) {
+        return String.format("%016x", number);
     }
 
     /** The first key after all keys that start with {@code prefix}, which must not be empty. */
--- /dev/null
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/ownership/OwnershipService.java
@@ -0,0 +1,320 @@
+package org.skylarkmast.daemon.ownership;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicReferenceArray;
+import java.util.function.LongSupplier;
+import org.skylarkmast.core.journal.JournalState;
+import org.skylarkmast.core.key.ProgramKey;
+import org.skylarkmast.core.ownership.OwnerLocation;
+import org.skylarkmast.core.ownership.OwnershipAction;
+import org.skylarkmast.core.ownership.OwnershipEvent;
+import org.skylarkmast.core.ownership.OwnershipListener;
+import org.skylarkmast.core.ownership.OwnershipMachine;
+import org.skylarkmast.core.ownership.PartitionDirectory;
+import org.skylarkmast.core.ownership.SessionRecord;
+import org.skylarkmast.core.store.KeyValueStore;
+import org.skylarkmast.daemon.journal.JournalReader;
+import org.skylarkmast.daemon.journal.JournalWriter;
+import org.skylarkmast.daemon.loop.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Carries out the ownership decisions and publishes the directory of owners.
+ *
+ * <p>All state belongs to the ownership loop; public methods may be called from any thread.
+ */
+public final class OwnershipService implements PartitionDirectory {
+    private static final Logger LOG = LoggerFactory.getLogger(OwnershipService.class);
+    private static final long NS_PER_MS = 1_000_000L;
+    private static final long TICK_NS = 100 * NS_PER_MS;
+    private static final long READ_RETRY_NS = 200 * NS_PER_MS;
+
+    /** Journals read at a time; bounds memory and the share of the service's read rate. */
+    private static final int READS_AT_ONCE = 16;
+
+    private final NodeSession session;
+    private final OwnershipMachine machine;
+    private final JournalReader reader;
+    private final JournalWriter journal;
+    private final EventLoop loop;
+    private final Executor blocking;
+    private final LongSupplier nowNs;
+    private final RecordWriter records;
+    private final DirectoryWatch directory;
+    private final SessionLoop sessionLoop;
+
+    private final AtomicReferenceArray<Published> published =
+            new AtomicReferenceArray<>(ProgramKey.PARTITIONS);
+    private final Deque<OwnershipAction.ReadJournal> readsWaiting = new ArrayDeque<>();
+    private final Map<Integer, JournalState> journalsRead = new HashMap<>();
+    private int readsUnderWay;
+    private OwnershipListener listener;
+    private Runnable whenDrained;
+    private volatile Map<String, SessionRecord> sessions = Map.of();
+    private volatile boolean closed;
+
+    private record Published(Optional<OwnerLocation> owner, boolean owned, boolean held) {}
+
+    /**
+     * Creates a service that owns nothing.
+     *
+     * @param loop owns all state; the listener is called on it
+     * @param blocking runs calls to the store, each on a thread of its own
+     * @param nowNs monotonic clock
+     * @param renewEveryMs pause between renewals of the lease, a third of its life or less
+     */
+    public OwnershipService(
+            KeyValueStore store,
+            NodeSession session,
+            OwnershipMachine machine,
+            JournalReader reader,
+            JournalWriter journal,
+            EventLoop loop,
+            Executor blocking,
+            LongSupplier nowNs,
+            long renewEveryMs) {
+        this.session = session;
+        this.machine = machine;
+        this.reader = reader;
+        this.journal = journal;
+        this.loop = loop;
+        this.blocking = blocking;
+        this.nowNs = nowNs;
+        records = new RecordWriter(store);
+        directory = new DirectoryWatch(store, loop, blocking, this::on);
+        sessionLoop = new SessionLoop(session, loop, blocking, renewEveryMs, this::on);
+        for (int partition = 0; partition < ProgramKey.PARTITIONS; partition++) {
+            published.set(partition, new Published(Optional.empty(), false, false));
+        }
+    }
+
+    /** Opens the session and starts to claim; call once. */
+    public void start(OwnershipListener ownershipListener) {
+        journal.start(
+                (partition, claimRevision) ->
+                        loop.execute(
+                                () -> on(new OwnershipEvent.Fenced(partition, claimRevision))));
+        loop.execute(
+                () -> {
+                    listener = ownershipListener;
+                    directory.start();
+                    sessionLoop.start();
+                    tick();
+                });
+    }
+
+    /**
+     * Hands all partitions over.
+     *
+     * @param done run on the ownership loop once none is left; never run if no other node lives
+     */
+    public void drain(Runnable done) {
+        loop.execute(
+                () -> {
+                    whenDrained = done;
+                    on(new OwnershipEvent.DrainStarted());
+                    sessionLoop.markDraining();
+                });
+    }
+
+    /** Stops and ends the session; blocks for one call to the key-value service. */
+    public void close() {
+        closed = true;
+        loop.execute(
+                () -> {
+                    directory.close();
+                    sessionLoop.close();
+                });
+        session.close();
+    }
+
+    @Override
+    public Optional<OwnerLocation> ownerOf(int partition) {
+        return published.get(partition).owner();
+    }
+
+    @Override
+    public boolean ownedHere(int partition, long atNs) {
+        return published.get(partition).owned() && session.leaseValidAt(atNs);
+    }
+
+    /**
+     * Whether this node held the partition last and no other is known to have claimed it.
+     *
+     * <p>Unlike {@link #ownedHere} this stays true while the key-value service is down; it permits
+     * only work that may be repeated.
+     */
+    public boolean heldHere(int partition) {
+        return published.get(partition).held();
+    }
+
+    @Override
+    public void refresh(int partition) {
+        loop.execute(() -> directory.refresh(partition));
+    }
+
+    /** The live sessions by incarnation, as last seen. */
+    public Map<String, SessionRecord> sessions() {
+        return sessions;
+    }
+
+    private void tick() {
+        if (!closed) {
+            on(new OwnershipEvent.Tick());
+            loop.schedule(this::tick, TICK_NS);
+        }
+    }
+
+    private void on(OwnershipEvent event) {
+        if (closed) {
+            return;
+        }
+        List<OwnershipAction> actions = machine.on(event, nowNs.getAsLong());
+        publish(event);
+        actions.forEach(this::perform);
+        boolean drained = whenDrained != null && machine.heldCount() == 0;
+        if (drained) {
+            Runnable done = whenDrained;
+            whenDrained = null;
+            done.run();
+        }
+    }
+
+    private void publish(OwnershipEvent event) {
+        switch (event) {
+            case OwnershipEvent.RecordSeen seen -> publish(seen.partition());
+            case OwnershipEvent.JournalRead read -> publish(read.partition());
+            case OwnershipEvent.Fenced fenced -> publish(fenced.partition());
+            case OwnershipEvent.SessionOpened opened -> publishAll();
+            case OwnershipEvent.SessionLost lost -> publishAll();
+            case OwnershipEvent.SessionSeen seen -> publishAll();
+            case OwnershipEvent.SessionGone gone -> publishAll();
+            case OwnershipEvent.DrainStarted started -> publishAll();
+            // These do not change who owns or holds a partition.
+            case OwnershipEvent.DirectoryRead ignored -> {}
+            case OwnershipEvent.ClaimsEnded ignored -> {}
+            case OwnershipEvent.Quiet ignored -> {}
+            case OwnershipEvent.HandOverEnded ignored -> {}
+            case OwnershipEvent.Tick ignored -> {}
+        }
+    }
+
+    private void publishAll() {
+        sessions = machine.sessions();
+        for (int partition = 0; partition < ProgramKey.PARTITIONS; partition++) {
+            publish(partition);
+        }
+    }
+
+    private void publish(int partition) {
+        published.set(
+                partition,
+                new Published(
+                        machine.ownerOf(partition),
+                        machine.owns(partition),
+                        machine.holds(partition)));
+    }
+
+    private void perform(OwnershipAction action) {
+        switch (action) {
+            case OwnershipAction.Claim claim -> write(() -> records.claim(claim.requests()));
+            case OwnershipAction.HandOver handOver -> write(() -> records.handOver(handOver));
+            case OwnershipAction.ReadJournal read -> {
+                readsWaiting.add(read);
+                readNext();
+            }
+            case OwnershipAction.Acquired(int partition, long revision, long epoch) ->
+                    acquired(partition, revision, epoch);
+            case OwnershipAction.Reacquired(int partition, long revision, long epoch) -> {
+                log("partition_reacquired", partition, epoch);
+                journal.rebind(partition, revision, epoch);
+                listener.reacquired(partition, epoch);
+            }
+            case OwnershipAction.Lost(int partition) -> {
+                log("partition_lost", partition, 0);
+                journal.close(partition);
+                listener.lost(partition);
+            }
+            case OwnershipAction.Suspend(int partition) -> journal.suspend(partition);
+            case OwnershipAction.Release(int partition, long claimRevision) ->
+                    listener.release(partition, () -> quiet(partition, claimRevision));
+            case OwnershipAction.Refresh(int partition) -> directory.refresh(partition);
+        }
+    }
+
+    /** A blocking write that returns what the decisions are to be told. */
+    @FunctionalInterface
+    private interface StoreWrite {
+        List<OwnershipEvent> run();
+    }
+
+    private void write(StoreWrite write) {
+        blocking.execute(
+                () -> {
+                    List<OwnershipEvent> events = write.run();
+                    loop.execute(() -> events.forEach(this::on));
+                });
+    }
+
+    private void quiet(int partition, long claimRevision) {
+        journal.whenFlushed(
+                partition,
+                () -> loop.execute(() -> on(new OwnershipEvent.Quiet(partition, claimRevision))));
+    }
+
+    private void readNext() {
+        while (readsUnderWay < READS_AT_ONCE && !readsWaiting.isEmpty()) {
+            OwnershipAction.ReadJournal read = readsWaiting.poll();
+            if (!machine.reading(read.partition(), read.revision())) {
+                continue;
+            }
+            readsUnderWay++;
+            blocking.execute(
+                    () -> {
+                        JournalReader.ReadOutcome outcome = reader.read(read.partition());
+                        loop.execute(() -> wasRead(read, outcome));
+                    });
+        }
+    }
+
+    private void wasRead(OwnershipAction.ReadJournal read, JournalReader.ReadOutcome outcome) {
+        readsUnderWay--;
+        switch (outcome) {
+            case JournalReader.ReadOutcome.Read(JournalState state) -> {
+                journalsRead.put(read.partition(), state);
+                on(new OwnershipEvent.JournalRead(read.partition(), read.revision()));
+                journalsRead.remove(read.partition());
+            }
+            case JournalReader.ReadOutcome.Unavailable(String reason) ->
+                    loop.schedule(
+                            () -> {
+                                readsWaiting.add(read);
+                                readNext();
+                            },
+                            READ_RETRY_NS);
+        }
+        readNext();
+    }
+
+    private void acquired(int partition, long revision, long epoch) {
+        JournalState state = journalsRead.get(partition);
+        log("partition_acquired", partition, epoch);
+        journal.open(partition, revision, epoch, state);
+        listener.acquired(partition, epoch, state.replay());
+    }
+
+    private static void log(String event, int partition, long epoch) {
+        LOG.atInfo()
+                .addKeyValue("event", event)
+                .addKeyValue("partition", partition)
+                .addKeyValue("epoch", epoch)
+                .log();
+    }
+}
