--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/SchedulingAction.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/SchedulingAction.java
@@ -13,7 +13,7 @@
     record Dispatch(long callId, String runner, int attempt) implements SchedulingAction {}
 
     /**
-     * Ends a call that was never sent to any runner.
+     * Ends a call that did not run: it was never sent, or each attempt provably did not run.
      *
      * @param retryAfterMs when the caller should come back, above 0
      */
@@ -23,6 +23,8 @@
     /**
      * Ends a call whose attempts failed.
      *
+     * @param lastFailure the last failure after which it may have run, if there was one; so the
+     *     call did not run if {@link CallFailure#mayHaveRun()} is false
      * @param retryAfterMs when the caller should come back, above 0
      */
     record GiveUp(long callId, CallFailure lastFailure, long retryAfterMs)
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/SchedulingEvent.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/SchedulingEvent.java
@@ -64,6 +64,12 @@
     /** The host list says a runner is leaving, or no longer so. */
     record RunnerLeaving(String runner, boolean leaving) implements SchedulingEvent {}
 
+    /**
+     * A program that another node ran before is this node's now; where its prefix is cached is not
+     * known, so its end is told to every engine.
+     */
+    record ProgramAdopted(ProgramKey program) implements SchedulingEvent {}
+
     /** A program or sub-agent ended; engines should drop what they hold for it. */
     record ProgramEnded(ProgramKey program) implements SchedulingEvent {}
 
