--- /dev/null
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/membership/MembershipMachineTest.java
@@ -0,0 +1,138 @@
+package org.skylarkmast.core.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.skylarkmast.core.membership.MembershipAction.HostLeaving;
+import org.skylarkmast.core.membership.MembershipAction.SendHeartbeat;
+import org.skylarkmast.core.ownership.SessionRecord;
+
+class MembershipMachineTest {
+    private static final long SECOND_NS = 1_000_000_000L;
+    private static final MembershipSettings SETTINGS = MembershipSettings.withRounds(1_000);
+
+    private final MembershipMachine machine = new MembershipMachine(SETTINGS, new Random(3));
+
+    private long nowNs = 5 * SECOND_NS;
+
+    @Test
+    void peerIsSuspectedAfterSeveralMissesAndLiveWithOneSignOfLife() {
+        sessions(2);
+        round();
+        miss("n1");
+        miss("n1");
+        assertThat(state("n1")).isEqualTo(MemberView.State.LIVE);
+        miss("n1");
+        assertThat(state("n1")).isEqualTo(MemberView.State.SUSPECTED);
+        machine.on(new MembershipEvent.PeerHeard("n1", false), nowNs);
+        assertThat(state("n1")).isEqualTo(MemberView.State.LIVE);
+    }
+
+    @Test
+    void pausedNodeSuspectsNobodyForWhatItMissed() {
+        sessions(2);
+        round();
+        miss("n1");
+        miss("n1");
+        long sentBeforePauseNs = nowNs;
+        nowNs += 60 * SECOND_NS;
+        round();
+        machine.on(new MembershipEvent.HeartbeatMissed("n1", sentBeforePauseNs), nowNs);
+        assertThat(state("n1")).isEqualTo(MemberView.State.LIVE);
+        miss("n1");
+        miss("n1");
+        assertThat(state("n1")).isEqualTo(MemberView.State.LIVE);
+        miss("n1");
+        assertThat(state("n1")).isEqualTo(MemberView.State.SUSPECTED);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"2, 1", "7, 3", "880, 3"})
+    void heartbeatsOfARoundDoNotGrowWithTheNumberOfNodes(int nodes, int expected) {
+        sessions(nodes);
+        assertThat(round()).isEqualTo(expected);
+        for (int node = 1; node < nodes; node++) {
+            miss("n" + node);
+        }
+        assertThat(round()).isAtMost(3 * SETTINGS.probesPerRound());
+    }
+
+    @Test
+    void drainingPeerIsLeaving() {
+        sessions(2);
+        machine.on(new MembershipEvent.PeerHeard("n1", true), nowNs);
+        assertThat(state("n1")).isEqualTo(MemberView.State.LEAVING);
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource({
+        "flap within one second,             L1 V2 L3 V4 L5 V6,          leaving",
+        "live in one newer list only,        L1 V2,                      leaving",
+        "live in three newer lists at once,  L1 V2 V3 V4,                leaving",
+        "live in three newer lists for long, L1 V2 +3 V3 +3 V4,          live",
+        "older lists do not count,           L5 V1 +3 V2 +3 V3 V4,       leaving",
+        "missing breaks the row,             L1 V2 V3 +6 M4 V5 V6,       leaving",
+        "unchanged list for long,            L1 V2 +31 V2,               live",
+        "missing host stays leaving,         L1 M2 +60 M3,               leaving",
+        "never leaving,                      V1 V2 M3 V4,                live"
+    })
+    void leavingHostComesBackOnlyAfterALastingRow(String name, String lists, String expected) {
+        List<MembershipAction> actions = new ArrayList<>();
+        for (String token : lists.split(" ", -1)) {
+            long number = Long.parseLong(token.substring(1));
+            switch (token.charAt(0)) {
+                case '+' -> nowNs += number * SECOND_NS;
+                case 'L' -> actions.addAll(read(number, host(true)));
+                case 'V' -> actions.addAll(read(number, host(false)));
+                default -> actions.addAll(read(number, List.of()));
+            }
+        }
+        boolean leaving = false;
+        for (MembershipAction action : actions) {
+            leaving = ((HostLeaving) action).leaving();
+        }
+        assertThat(leaving ? "leaving" : "live").isEqualTo(expected);
+    }
+
+    private static List<HostList.Host> host(boolean leaving) {
+        return List.of(new HostList.Host("10.0.0.1:7000", leaving));
+    }
+
+    private List<MembershipAction> read(long revision, List<HostList.Host> hosts) {
+        return machine.on(new MembershipEvent.HostsRead(new HostList(revision, hosts)), nowNs);
+    }
+
+    private void sessions(int nodes) {
+        Map<String, SessionRecord> sessions = new HashMap<>();
+        for (int node = 0; node < nodes; node++) {
+            sessions.put("n" + node, new SessionRecord("n" + node, "d", "h:" + node, 1, false));
+        }
+        machine.on(new MembershipEvent.SessionsSeen("n0", sessions), nowNs);
+    }
+
+    private long round() {
+        nowNs += SECOND_NS;
+        return machine.on(new MembershipEvent.RoundDue(), nowNs).stream()
+                .filter(action -> action instanceof SendHeartbeat)
+                .count();
+    }
+
+    private void miss(String incarnation) {
+        machine.on(new MembershipEvent.HeartbeatMissed(incarnation, nowNs), nowNs);
+    }
+
+    private MemberView.State state(String incarnation) {
+        return machine.view().members().stream()
+                .filter(member -> member.incarnation().equals(incarnation))
+                .findFirst()
+                .orElseThrow()
+                .state();
+    }
+}
