[admin] Answer the administration port and give errors as problem details

Health, readiness and Prometheus metrics are open; objects, status, programs and histories take an operator's bearer key, compared by digest in constant time. StatusSource, ProgramSource, HistorySource and Readiness are for the daemon to implement.

--- /dev/null
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/admin/AdminHandler.java
@@ -0,0 +1,193 @@
+package org.skylarkmast.daemon.admin;
+
+import io.prometheus.metrics.config.EscapingScheme;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.skylarkmast.core.json.JsonUtil;
+import org.skylarkmast.daemon.admin.HistorySource.HistoryOutcome;
+import org.skylarkmast.daemon.problem.ProblemReply;
+import org.skylarkmast.http.HttpCall;
+import org.skylarkmast.http.HttpHandler;
+import org.skylarkmast.http.HttpReply;
+import tools.jackson.databind.node.ObjectNode;
+
+/**
+ * Answers the administration port.
+ *
+ * <p>Health checks and metrics are open; everything below {@code /v1/} takes an operator's bearer
+ * key. Thread-safe as far as its sources are.
+ */
+public final class AdminHandler implements HttpHandler {
+
+    /** Rows of one listing of programs unless the request asks for fewer. */
+    private static final int MAX_PROGRAM_ROWS = 1_000;
+
+    private static final String PROGRAMS = "/v1/programs";
+    private static final String HISTORY = "/history";
+
+    private final OperatorKeys operators;
+    private final Readiness readiness;
+    private final PrometheusRegistry metrics;
+    private final ObjectsResource objects;
+    private final StatusSource status;
+    private final ProgramSource programs;
+    private final HistorySource histories;
+    private final PrometheusTextFormatWriter metricsWriter = PrometheusTextFormatWriter.create();
+
+    /**
+     * Creates a handler.
+     *
+     * @param operatorKeySha256 lower-case hex digests of the operators' bearer keys
+     */
+    public AdminHandler(
+            List<String> operatorKeySha256,
+            Readiness readiness,
+            PrometheusRegistry metrics,
+            ObjectsResource objects,
+            StatusSource status,
+            ProgramSource programs,
+            HistorySource histories) {
+        this.operators = new OperatorKeys(operatorKeySha256);
+        this.readiness = readiness;
+        this.metrics = metrics;
+        this.objects = objects;
+        this.status = status;
+        this.programs = programs;
+        this.histories = histories;
+    }
+
+    @Override
+    public HttpReply handle(HttpCall call) {
+        return switch (call.path()) {
+            case "/healthz" -> get(call, () -> HttpReply.text(200, "ok\n"));
+            case "/readyz" -> get(call, this::readyz);
+            case "/metrics" -> get(call, this::scrape);
+            default -> call.path().startsWith("/v1/") ? operatorCall(call) : notFound(call);
+        };
+    }
+
+    private HttpReply operatorCall(HttpCall call) {
+        if (!operators.admit(call)) {
+            byte[] body =
+                    JsonUtil.toBytes(
+                            new ProblemReply(
+                                            401,
+                                            "unauthorized",
+                                            "Operator key required",
+                                            "expected a bearer key of an operator")
+                                    .toJson());
+            return new HttpReply.Full(
+                    401, Map.of("WWW-Authenticate", "Bearer"), "application/problem+json", body);
+        }
+        return switch (call.path()) {
+            case "/v1/objects" ->
+                    call.method().equals("PUT")
+                            ? objects.put(call.body())
+                            : get(call, objects::get, "GET, PUT");
+            case "/v1/status" -> get(call, () -> json(status.status()));
+            case PROGRAMS -> get(call, () -> listPrograms(call));
+            default -> history(call);
+        };
+    }
+
+    private HttpReply readyz() {
+        return readiness
+                .notReadyReason()
+                .map(reason -> HttpReply.text(503, reason + "\n"))
+                .orElseGet(() -> HttpReply.text(200, "ok\n"));
+    }
+
+    private HttpReply scrape() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            metricsWriter.write(out, metrics.scrape(), EscapingScheme.UNDERSCORE_ESCAPING);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return new HttpReply.Full(
+                200, Map.of(), PrometheusTextFormatWriter.CONTENT_TYPE, out.toByteArray());
+    }
+
+    private HttpReply listPrograms(HttpCall call) {
+        String workspace = call.query().getOrDefault("workspace", "");
+        if (workspace.isEmpty()) {
+            return new ProblemReply(
+                            400,
+                            "malformed",
+                            "Malformed request",
+                            "expected the query parameter workspace")
+                    .toReply();
+        }
+        return json(programs.programs(workspace, MAX_PROGRAM_ROWS));
+    }
+
+    /** Answers {@code /v1/programs/{workspace}/{id}/history}; an id may contain slashes. */
+    private HttpReply history(HttpCall call) {
+        String path = call.path();
+        int workspaceStart = PROGRAMS.length() + 1;
+        int idStart = path.indexOf('/', workspaceStart) + 1;
+        int idEnd = path.length() - HISTORY.length();
+        if (!path.startsWith(PROGRAMS + "/")
+                || !path.endsWith(HISTORY)
+                || idStart == 0
+                || idStart >= idEnd) {
+            return notFound(call);
+        }
+        String workspace = path.substring(workspaceStart, idStart - 1);
+        String id = path.substring(idStart, idEnd);
+        return get(call, () -> reply(histories.history(workspace, id)));
+    }
+
+    private static HttpReply reply(HistoryOutcome outcome) {
+        return switch (outcome) {
+            case HistoryOutcome.Found found -> json(found.rows());
+            case HistoryOutcome.Absent absent ->
+                    new ProblemReply(404, "no-such-program", "No such program", "not known here")
+                            .toReply();
+            case HistoryOutcome.OwnedElsewhere elsewhere -> {
+                ObjectNode extension =
+                        JsonUtil.MAPPER.createObjectNode().put("node", elsewhere.node());
+                yield new ProblemReply(
+                                404,
+                                "owned-elsewhere",
+                                "Program of another node",
+                                "ask the node that owns the program")
+                        .toReply(extension);
+            }
+        };
+    }
+
+    private static HttpReply json(Object body) {
+        return HttpReply.json(200, JsonUtil.MAPPER.writeValueAsString(body));
+    }
+
+    private static HttpReply get(HttpCall call, Supplier<HttpReply> reply) {
+        return get(call, reply, "GET");
+    }
+
+    private static HttpReply get(HttpCall call, Supplier<HttpReply> reply, String allowed) {
+        if (call.method().equals("GET")) {
+            return reply.get();
+        }
+        byte[] body =
+                JsonUtil.toBytes(
+                        new ProblemReply(
+                                        405,
+                                        "method-not-allowed",
+                                        "Method not allowed",
+                                        "expected " + allowed)
+                                .toJson());
+        return new HttpReply.Full(405, Map.of("Allow", allowed), "application/problem+json", body);
+    }
+
+    private static HttpReply notFound(HttpCall call) {
+        return new ProblemReply(404, "not-found", "Not found", "nothing at " + call.path())
+                .toReply();
+    }
+}
--- /dev/null
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/admin/OperatorKeys.java
@@ -0,0 +1,37 @@
+package org.skylarkmast.daemon.admin;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.List;
+import org.skylarkmast.core.config.ConfigurationChunks;
+import org.skylarkmast.http.HttpCall;
+
+/** Recognises operators by bearer keys, of which only digests are known. */
+final class OperatorKeys {
+    private static final String SCHEME = "Bearer ";
+
+    private final List<byte[]> digests;
+
+    OperatorKeys(List<String> keySha256) {
+        this.digests = keySha256.stream().map(OperatorKeys::bytes).toList();
+    }
+
+    /** Whether {@code call} carries an operator's key; takes the same time for any wrong key. */
+    boolean admit(HttpCall call) {
+        String header = call.header("authorization").orElse("");
+        if (!header.regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+            return false;
+        }
+        String key = header.substring(SCHEME.length()).trim();
+        byte[] digest = bytes(ConfigurationChunks.sha256(key.getBytes(StandardCharsets.UTF_8)));
+        boolean admitted = false;
+        for (byte[] known : digests) {
+            admitted |= MessageDigest.isEqual(known, digest);
+        }
+        return admitted;
+    }
+
+    private static byte[] bytes(String digest) {
+        return digest.getBytes(StandardCharsets.US_ASCII);
+    }
+}
--- /dev/null
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/problem/ProblemReply.java
@@ -0,0 +1,88 @@
+package org.skylarkmast.daemon.problem;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.skylarkmast.core.json.JsonUtil;
+import org.skylarkmast.http.HttpReply;
+import tools.jackson.databind.node.ObjectNode;
+
+/**
+ * An error answer.
+ *
+ * @param status HTTP status
+ * @param type short stable name of the kind of problem, such as {@code conflict}
+ * @param title the kind of problem in words
+ * @param detail what is wrong with this request
+ * @param execution whether the request was carried out, where that is in question
+ * @param retryAfterMs when to come back, in milliseconds from now
+ */
+public record ProblemReply(
+        int status,
+        String type,
+        String title,
+        String detail,
+        Optional<Execution> execution,
+        OptionalLong retryAfterMs) {
+
+    /** What the problem's type starts with. */
+    public static final String TYPE_PREFIX = "urn:skylarkmast:problem:";
+
+    private static final String CONTENT_TYPE = "application/problem+json";
+    private static final long MS_PER_SECOND = 1_000;
+
+    /** A problem that says nothing of execution or coming back. */
+    public ProblemReply(int status, String type, String title, String detail) {
+        this(status, type, title, detail, Optional.empty(), OptionalLong.empty());
+    }
+
+    /** The same problem with {@code execution}. */
+    public ProblemReply withExecution(Execution newExecution) {
+        return new ProblemReply(
+                status, type, title, detail, Optional.of(newExecution), retryAfterMs);
+    }
+
+    /** The same problem with a time to come back. */
+    public ProblemReply withRetryAfterMs(long newRetryAfterMs) {
+        return new ProblemReply(
+                status, type, title, detail, execution, OptionalLong.of(newRetryAfterMs));
+    }
+
+    /** The answer to send. */
+    public HttpReply toReply() {
+        return toReply(JsonUtil.MAPPER.createObjectNode());
+    }
+
+    /**
+     * The answer to send.
+     *
+     * @param extension further members of the problem, added after the standard ones
+     */
+    public HttpReply toReply(ObjectNode extension) {
+        ObjectNode body = toJson();
+        body.setAll(extension);
+        Map<String, String> headers = new LinkedHashMap<>();
+        retryAfterMs.ifPresent(ms -> headers.put("Retry-After", wholeSeconds(ms)));
+        return new HttpReply.Full(status, headers, CONTENT_TYPE, JsonUtil.toBytes(body));
+    }
+
+    /** The members of the problem. */
+    public ObjectNode toJson() {
+        ObjectNode body =
+                JsonUtil.MAPPER
+                        .createObjectNode()
+                        .put("type", TYPE_PREFIX + type)
+                        .put("title", title)
+                        .put("status", status)
+                        .put("detail", detail);
+        execution.ifPresent(known -> body.put("execution", known.word()));
+        retryAfterMs.ifPresent(ms -> body.put("retryAfterMs", ms));
+        return body;
+    }
+
+    /** Rounds up, since coming back early is refused again. */
+    private static String wholeSeconds(long ms) {
+        return Long.toString(Math.ceilDiv(ms, MS_PER_SECOND));
+    }
+}
