[ownership] Prove claims, sessions, replay and random interleavings

InterleavingTest runs three simulated nodes under pauses, lapses, outages, dropped watches and lost, late and refused answers; every committed record is replayed once and in order, epochs do not interleave, and every partition is served at the end (40 seeds from jqwik). A first run failed because the fake store took puts on a lease that had ended, which the real service refuses; the fake now refuses them.

--- /dev/null
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/ownership/InterleavingTest.java
@@ -0,0 +1,147 @@
+package org.skylarkmast.daemon.ownership;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.skylarkmast.core.key.ProgramKey;
+import org.skylarkmast.core.ownership.OwnershipSettings;
+import org.skylarkmast.daemon.journal.JournalReader;
+import org.skylarkmast.daemon.sim.FakeStore;
+import org.skylarkmast.daemon.sim.SimulatedNode;
+import org.skylarkmast.daemon.sim.Simulation;
+
+/**
+ * Random pauses, lost answers, lapses and outages; what was committed is replayed once, in order.
+ */
+class InterleavingTest {
+    private static final OwnershipSettings SETTINGS = OwnershipSettings.withClaimGrace(1_000);
+    private static final int ROUNDS = 300;
+
+    /** Records go to few partitions, so that their owners change often under load. */
+    private static final int USED_PARTITIONS = 6;
+
+    @Property(tries = 40, seed = "20261203", shrinking = ShrinkingMode.OFF)
+    void committedRecordsAreReplayedOnceAndInOrder(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed);
+        FakeStore store = new FakeStore(simulation);
+        List<SimulatedNode> cluster = new ArrayList<>();
+        for (String name : List.of("a", "b", "c")) {
+            new SimulatedNode(simulation, store, name, name, SETTINGS, cluster).start();
+        }
+        simulation.runMs(1_500);
+        Random random = simulation.random();
+        int faultPercent = random.nextInt(40);
+        store.faults((txn, sim) -> fault(random, faultPercent));
+        for (int round = 0; round < ROUNDS; round++) {
+            disturb(simulation, store, cluster, random);
+            for (SimulatedNode node : cluster) {
+                int partition = random.nextInt(USED_PARTITIONS);
+                if (node.serving.contains(partition)) {
+                    long epoch = node.epochs.get(partition);
+                    node.append(partition, node.name + " " + epoch + " " + round);
+                }
+                if (random.nextInt(20) == 0) {
+                    node.snapshot(random.nextInt(USED_PARTITIONS));
+                }
+            }
+            simulation.runMs(random.nextInt(200));
+        }
+        store.faults((txn, sim) -> FakeStore.Fault.NONE);
+        store.down(false);
+        simulation.runMs(60_000);
+        check(store, cluster);
+    }
+
+    private static FakeStore.Fault fault(Random random, int faultPercent) {
+        FakeStore.Fault[] faults = FakeStore.Fault.values();
+        return random.nextInt(100) < faultPercent
+                ? faults[random.nextInt(faults.length)]
+                : FakeStore.Fault.NONE;
+    }
+
+    private static void disturb(
+            Simulation simulation, FakeStore store, List<SimulatedNode> cluster, Random random) {
+        SimulatedNode node = cluster.get(random.nextInt(cluster.size()));
+        switch (random.nextInt(60)) {
+            case 0 -> simulation.pause(node.name, random.nextInt(8_000));
+            case 1 -> store.expireLeases();
+            case 2 -> store.down(true);
+            case 3, 4, 5, 6 -> store.down(false);
+            case 7 -> store.dropWatches();
+            case 8 -> simulation.maxLatencyMs(1 + random.nextInt(300));
+            default -> {}
+        }
+    }
+
+    private static void check(FakeStore store, List<SimulatedNode> cluster) {
+        Set<String> replayed = new HashSet<>();
+        for (int partition = 0; partition < USED_PARTITIONS; partition++) {
+            List<String> contents = contents(store, cluster, partition);
+            Set<String> distinct = new HashSet<>(contents);
+            assertWithMessage("replayed twice").that(contents).hasSize(distinct.size());
+            replayed.addAll(distinct);
+            assertEpochsDoNotInterleave(contents);
+            for (SimulatedNode node : cluster) {
+                List<String> own = contents.stream().filter(node.committed::contains).toList();
+                List<String> told = node.committed.stream().filter(distinct::contains).toList();
+                assertThat(told).containsExactlyElementsIn(own).inOrder();
+            }
+        }
+        for (SimulatedNode node : cluster) {
+            assertWithMessage("committed but not replayed")
+                    .that(replayed)
+                    .containsAtLeastElementsIn(node.committed);
+            assertThat(node.committed).containsNoDuplicates();
+        }
+        for (int partition = 0; partition < ProgramKey.PARTITIONS; partition++) {
+            int served = partition;
+            assertWithMessage("partition %s: %s", partition, histories(cluster, partition))
+                    .that(cluster.stream().filter(node -> node.serving.contains(served)).count())
+                    .isEqualTo(1);
+        }
+    }
+
+    private static List<String> histories(List<SimulatedNode> cluster, int partition) {
+        return cluster.stream()
+                .map(
+                        node ->
+                                node.session.incarnation()
+                                        + " "
+                                        + node.ownership.ownerOf(partition)
+                                        + " "
+                                        + node.told.stream()
+                                                .filter(line -> line.endsWith(" " + partition))
+                                                .toList())
+                .toList();
+    }
+
+    private static void assertEpochsDoNotInterleave(List<String> contents) {
+        long lastEpoch = 0;
+        String lastNode = "";
+        for (String text : contents) {
+            String[] parts = text.split(" ", -1);
+            long epoch = Long.parseLong(parts[1]);
+            assertThat(epoch).isAtLeast(lastEpoch);
+            if (epoch == lastEpoch) {
+                assertThat(parts[0]).isEqualTo(lastNode);
+            }
+            lastEpoch = epoch;
+            lastNode = parts[0];
+        }
+    }
+
+    private static List<String> contents(
+            FakeStore store, List<SimulatedNode> cluster, int partition) {
+        JournalReader reader = new JournalReader(store, SimulatedNode.copiesIn(cluster));
+        var outcome = (JournalReader.ReadOutcome.Read) reader.read(partition);
+        return SimulatedNode.contents(outcome.state().replay());
+    }
+}
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/sim/FakeStore.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/sim/FakeStore.java
@@ -138,8 +138,8 @@
     @Override
     public StoreOutcome<TxnResult> commit(Txn txn) {
         calls++;
-        if (down) {
-            return new StoreOutcome.NotApplied<>("down");
+        if (down || !leasesLive(txn)) {
+            return new StoreOutcome.NotApplied<>("down, or lease not found");
         }
         return switch (faults.apply(txn, simulation)) {
             case NONE -> new StoreOutcome.Done<>(apply(txn));
@@ -150,7 +150,7 @@
             }
             case LOSE_REQUEST -> new StoreOutcome.Unknown<>("request lost");
             case DELAY -> {
-                simulation.at(simulation.random().nextInt(3_000), () -> apply(txn));
+                simulation.at(simulation.random().nextInt(3_000), () -> applyLate(txn));
                 yield new StoreOutcome.Unknown<>("delayed");
             }
         };
@@ -235,6 +235,22 @@
         }
     }
 
+    private boolean leasesLive(Txn txn) {
+        expire();
+        return txn.writes().stream()
+                .allMatch(
+                        write ->
+                                !(write instanceof Write.Put put)
+                                        || put.leaseId() == 0
+                                        || leaseEndsNs.containsKey(put.leaseId()));
+    }
+
+    private void applyLate(Txn txn) {
+        if (!down && leasesLive(txn)) {
+            apply(txn);
+        }
+    }
+
     private TxnResult apply(Txn txn) {
         expire();
         if (!txn.conditions().stream().allMatch(this::holds)) {
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/sim/SimulatedNode.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/sim/SimulatedNode.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.Executor;
 import org.skylarkmast.core.journal.AppendOutcome;
 import org.skylarkmast.core.journal.CopiedRecord;
+import org.skylarkmast.core.journal.CopyMark;
+import org.skylarkmast.core.journal.PeerCopySource;
 import org.skylarkmast.core.journal.ReplayedPartition;
 import org.skylarkmast.core.key.ProgramKey;
 import org.skylarkmast.core.ownership.OwnershipListener;
@@ -42,9 +44,12 @@
     public final List<String> committed = new ArrayList<>();
     public final List<String> copied = new ArrayList<>();
     public final List<String> fenced = new ArrayList<>();
+    public final Map<Integer, List<String>> state = new HashMap<>();
 
     private final Map<Integer, Integer> underWay = new HashMap<>();
     private final Map<Integer, Runnable> releasing = new HashMap<>();
+    private final Map<Integer, Integer> holds = new HashMap<>();
+    private final Map<Integer, Long> lastSequence = new HashMap<>();
     private int incarnations;
     private int writeIds;
 
@@ -80,7 +85,7 @@
                         store,
                         session,
                         new OwnershipMachine(ProgramKey.PARTITIONS, settings),
-                        new JournalReader(store, partition -> collect(cluster, partition)),
+                        new JournalReader(store, copiesIn(cluster)),
                         journal,
                         loop,
                         blocking,
@@ -96,24 +101,53 @@
     /** Appends {@code text} if the partition is served here. */
     public void append(int partition, String text) {
         underWay.merge(partition, 1, Integer::sum);
+        int hold = holds.getOrDefault(partition, 0);
         journal.append(
                 partition,
                 text.getBytes(StandardCharsets.UTF_8),
                 outcome -> {
                     switch (outcome) {
-                        case AppendOutcome.Committed done -> ended(partition, committed, text);
+                        case AppendOutcome.Committed done -> {
+                            committed.add(text);
+                            if (hold == holds.getOrDefault(partition, 0)) {
+                                state.get(partition).add(text);
+                                lastSequence.put(partition, done.sequence());
+                                ended(partition);
+                            }
+                        }
                         case AppendOutcome.Copied copy -> copied.add(text);
-                        case AppendOutcome.Fenced lost -> ended(partition, fenced, text);
+                        case AppendOutcome.Fenced lost -> fenced.add(text);
                     }
                 });
     }
 
+    /** Replaces the journal of {@code partition} by one snapshot of all that is committed. */
+    public void snapshot(int partition) {
+        if (lastSequence.containsKey(partition)) {
+            String all = String.join("\n", state.get(partition));
+            journal.snapshot(
+                    partition,
+                    lastSequence.get(partition),
+                    List.of(all.getBytes(StandardCharsets.UTF_8)),
+                    done -> {});
+        }
+    }
+
+    /** All texts that {@code replay} holds, in order. */
+    public static List<String> contents(ReplayedPartition replay) {
+        List<String> all = new ArrayList<>();
+        for (String chunk : texts(replay.snapshotChunks())) {
+            all.addAll(chunk.lines().toList());
+        }
+        all.addAll(texts(replay.records()));
+        return all;
+    }
+
     public static List<String> texts(List<byte[]> records) {
         return records.stream().map(r -> new String(r, StandardCharsets.UTF_8)).toList();
     }
 
-    private void ended(int partition, List<String> list, String text) {
-        list.add(text);
+    private void ended(int partition) {
         int left = underWay.merge(partition, -1, Integer::sum);
         if (left == 0 && releasing.containsKey(partition)) {
             releasing.remove(partition).run();
@@ -124,7 +158,7 @@
             List<SimulatedNode> cluster,
             Simulation simulation,
             List<CopiedRecord> records,
-            List<org.skylarkmast.core.journal.CopyMark> marks) {
+            List<CopyMark> marks) {
         int confirmed = 0;
         for (SimulatedNode peer : cluster) {
             if (peer != this && !simulation.paused(peer.name) && peer.copies.keep(records)) {
@@ -135,10 +169,13 @@
         return confirmed;
     }
 
-    private static List<CopiedRecord> collect(List<SimulatedNode> cluster, int partition) {
-        List<CopiedRecord> found = new ArrayList<>();
-        cluster.forEach(node -> found.addAll(node.copies.copiesOf(partition)));
-        return found;
+    /** The copies that all nodes of {@code cluster} keep. */
+    public static PeerCopySource copiesIn(List<SimulatedNode> cluster) {
+        return partition -> {
+            List<CopiedRecord> found = new ArrayList<>();
+            cluster.forEach(node -> found.addAll(node.copies.copiesOf(partition)));
+            return found;
+        };
     }
 
     @Override
@@ -148,6 +185,9 @@
         epochs.put(partition, epoch);
         replays.put(partition, replay);
         underWay.remove(partition);
+        holds.merge(partition, 1, Integer::sum);
+        lastSequence.remove(partition);
+        state.put(partition, contents(replay));
     }
 
     @Override
