--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/caller/AnswerReader.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/caller/AnswerReader.java
@@ -15,6 +15,7 @@
  */
 final class AnswerReader {
     private static final String DATA = "data:";
+    private static final String ERROR_EVENT = "event: error";
     private static final String DONE = "[DONE]";
 
     private final long sentNs = System.nanoTime();
@@ -22,11 +23,13 @@
     private JsonNode metadata = JsonUtil.MAPPER.createObjectNode();
     private JsonNode problem;
     private boolean done;
+    private boolean errorFollows;
     private long firstTokenMs = -1;
 
     /** Takes one line of the stream; always reads on. */
     boolean onLine(String line) {
         if (!line.startsWith(DATA)) {
+            errorFollows |= line.equals(ERROR_EVENT);
             return true;
         }
         String payload = line.substring(DATA.length()).strip();
@@ -35,8 +38,9 @@
             return true;
         }
         JsonNode chunk = JsonUtil.MAPPER.readTree(payload);
-        if (chunk.has("error")) {
-            problem = chunk.get("error");
+        if (errorFollows) {
+            problem = chunk;
+            return true;
         }
         if (chunk.has("skylarkmast")) {
             metadata = chunk.get("skylarkmast");
@@ -76,7 +80,8 @@
     /** What a service call came to. */
     static CallerOutcome service(HttpOutcome outcome) {
         if (outcome instanceof HttpOutcome.Answered answered && answered.status() / 100 == 2) {
-            return new CallerOutcome.Succeeded(answered.text(), 0, -1, 0, 0, -1);
+            String owner = answered.header("skylarkmast-owner").orElse("");
+            return new CallerOutcome.Succeeded(answered.text(), owner, 0, -1, 0, 0, -1);
         }
         return failed(outcome);
     }
@@ -84,6 +89,7 @@
     private CallerOutcome succeeded(String answer) {
         return new CallerOutcome.Succeeded(
                 answer,
+                metadata.path("owner").asString(""),
                 metadata.path("turn").asInt(0),
                 metadata.path("budgetLeftTokens").asLong(-1),
                 metadata.path("cachedTokens").asLong(0),
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/caller/CallerOutcome.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/caller/CallerOutcome.java
@@ -9,6 +9,7 @@
      * A whole answer.
      *
      * @param text the model's answer or the service's body
+     * @param owner node that owned the program; empty if not told
      * @param turn turn that the call became; 0 if not told
      * @param budgetLeftTokens -1 if not told
      * @param cachedTokens prompt tokens that were cached
@@ -17,6 +18,7 @@
      */
     record Succeeded(
             String text,
+            String owner,
             int turn,
             long budgetLeftTokens,
             long cachedTokens,
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/caller/RetryingCaller.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/caller/RetryingCaller.java
@@ -50,13 +50,13 @@
                     refused.status() >= 500
                             || refused.status() == TOO_MANY_REQUESTS
                             || (refused.execution() == Execution.NOT_RUN
-                                    && refused.retryAfterMs() >= 0);
+                                    && refused.retryAfterMs() > 0);
             case CallerOutcome.Cut ignored -> true;
         };
     }
 
     private static long pauseMs(CallerOutcome outcome) {
-        return outcome instanceof CallerOutcome.Refused refused && refused.retryAfterMs() >= 0
+        return outcome instanceof CallerOutcome.Refused refused && refused.retryAfterMs() > 0
                 ? Math.min(MAX_PAUSE_MS, Math.max(PAUSE_MS, refused.retryAfterMs()))
                 : PAUSE_MS;
     }
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/cluster/JavaLauncher.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/cluster/JavaLauncher.java
@@ -16,7 +16,13 @@
  */
 final class JavaLauncher {
     private static final List<String> SMALL_PROCESS =
-            List.of("-Xmx192m", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+            List.of(
+                    "-Xmx192m",
+                    "-Xss512k",
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "--enable-native-access=ALL-UNNAMED",
+                    "--sun-misc-unsafe-memory-access=allow");
     private static final long READY_TIMEOUT_MS = 60_000;
     private static final long READY_POLL_MS = 20;
 
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/cluster/LocalCluster.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/cluster/LocalCluster.java
@@ -316,17 +316,19 @@
                 : "";
     }
 
-    /** Tells the history what every target recorded and what every engine still holds. */
-    public void collectTargets() throws IOException {
+    /** What all targets recorded and what running engines still hold. */
+    public List<HistoryRecord> targetRecords() throws IOException {
+        List<HistoryRecord> records = new ArrayList<>();
         for (Runner engine : engines()) {
-            TargetRecords.engine(engine).forEach(history);
+            records.addAll(TargetRecords.engine(engine));
             if (standIns.process(engine.name()).alive()) {
-                heldBy(engine).forEach(history);
+                records.addAll(heldBy(engine));
             }
         }
         for (Runner service : services()) {
-            TargetRecords.service(service).forEach(history);
+            records.addAll(TargetRecords.service(service));
         }
+        return records;
     }
 
     /** What an engine holds now. */
--- a/skylarkmast-bench/src/test/java/org/skylarkmast/bench/caller/CallerClientTest.java
+++ b/skylarkmast-bench/src/test/java/org/skylarkmast/bench/caller/CallerClientTest.java
@@ -31,7 +31,8 @@
     private static final String CHUNK =
             "data: {\"choices\":[{\"delta\":{\"content\":\"%s\"}}]}\n\n";
     private static final String LAST =
-            "data: {\"choices\":[],\"skylarkmast\":{\"turn\":3,\"budgetLeftTokens\":70}}\n\n";
+            "data: {\"choices\":[],\"skylarkmast\":{\"owner\":\"host-2\","
+                    + "\"turn\":3,\"budgetLeftTokens\":70}}\n\n";
     private static final String DONE = "data: [DONE]\n\n";
 
     private final List<HistoryRecord> history = Collections.synchronizedList(new ArrayList<>());
@@ -47,7 +48,8 @@
     static Stream<Arguments> answers() {
         String whole =
                 "{\"choices\":[{\"message\":{\"content\":\"w1-0\"}}],"
-                        + "\"skylarkmast\":{\"turn\":3,\"budgetLeftTokens\":70}}";
+                        + "\"skylarkmast\":{\"owner\":\"host-2\",\"turn\":3,"
+                        + "\"budgetLeftTokens\":70}}";
         String problem =
                 "{\"status\":503,\"detail\":\"draining\",\"execution\":\"not-run\","
                         + "\"retryAfterMs\":9}";
@@ -67,7 +69,7 @@
                 arguments(
                         "error within a stream",
                         true,
-                        stream(CHUNK.formatted("w1-0") + "data: {\"error\":" + problem + "}\n\n"),
+                        stream(CHUNK.formatted("w1-0") + "event: error\ndata: " + problem + "\n\n"),
                         refused),
                 arguments("refusal", true, HttpReply.json(503, problem), refused),
                 arguments(
@@ -127,12 +129,12 @@
     private static CallerOutcome withoutTimes(CallerOutcome outcome) {
         return outcome instanceof CallerOutcome.Succeeded done
                 ? new CallerOutcome.Succeeded(
-                        done.text(), done.turn(), done.budgetLeftTokens(), 0, 0, -1)
+                        done.text(), done.owner(), done.turn(), done.budgetLeftTokens(), 0, 0, -1)
                 : outcome;
     }
 
     private static CallerOutcome succeeded(String text) {
-        return new CallerOutcome.Succeeded(text, 3, 70, 0, 0, -1);
+        return new CallerOutcome.Succeeded(text, "host-2", 3, 70, 0, 0, -1);
     }
 
     private static CallerRequest request(Kind kind, boolean streamed) {
