--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/settings/SettingsReaderTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/settings/SettingsReaderTest.java
@@ -67,6 +67,12 @@
                         "timing.claimGraceMs");
     }
 
+    @Test
+    void readsTheExample() {
+        assertThat(SettingsReader.read(Path.of("..", "examples", "entry-host.json")))
+                .isInstanceOf(SettingsOutcome.Valid.class);
+    }
+
     @Test
     void tellsThatThereIsNoFile() {
         SettingsOutcome outcome = SettingsReader.read(folder.resolve("none.json"));
