--- /dev/null
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionState.java
@@ -0,0 +1,161 @@
+package org.skylarkmast.core.program;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.skylarkmast.core.journal.ReplayedPartition;
+import org.skylarkmast.core.json.JsonUtil;
+import org.skylarkmast.core.key.ProgramKey;
+
+/** The programs of one partition and how journal records change them. Not thread-safe. */
+final class PartitionState {
+
+    /** Ended programs remembered per partition, so that late duplicates are not run as new. */
+    private static final int MAX_ENDED = 10_000;
+
+    final Map<ProgramKey, ProgramTree> trees = new LinkedHashMap<>();
+    private final Map<ProgramKey, Boolean> ended = new LinkedHashMap<>();
+
+    /** Rebuilds the state a former owner recorded; its open grants count as spent. */
+    static PartitionState replay(ReplayedPartition replayed, long nowNs) {
+        PartitionState state = new PartitionState();
+        for (byte[] chunk : replayed.snapshotChunks()) {
+            for (JournalRecord record : JsonUtil.fromBytes(chunk, JournalRecord[].class)) {
+                state.apply(record, nowNs);
+            }
+        }
+        for (byte[] bytes : replayed.records()) {
+            state.apply(JsonUtil.fromBytes(bytes, JournalRecord.class), nowNs);
+        }
+        state.trees.values().forEach(tree -> tree.budget.writeOffGrants());
+        return state;
+    }
+
+    /** The snapshot from which {@link #replay} rebuilds this state. */
+    List<byte[]> snapshot() {
+        List<byte[]> chunks = new ArrayList<>();
+        List<JournalRecord> endings = new ArrayList<>();
+        ended.keySet().forEach(key -> endings.add(new JournalRecord.ProgramEnded(key)));
+        chunks.add(JsonUtil.toBytes(endings.toArray(new JournalRecord[0])));
+        for (ProgramTree tree : trees.values()) {
+            for (JournalRecord.TreeSnapshot part : tree.snapshot()) {
+                chunks.add(JsonUtil.toBytes(new JournalRecord[] {part}));
+            }
+        }
+        return chunks;
+    }
+
+    Optional<AgentState> agent(ProgramKey key) {
+        ProgramTree tree = trees.get(key.root());
+        return tree == null ? Optional.empty() : Optional.ofNullable(tree.agents.get(key));
+    }
+
+    boolean hasEnded(ProgramKey key) {
+        return ended.containsKey(key) || ended.containsKey(key.root());
+    }
+
+    /** Removes a program, or a sub-agent with all below it; returns what was removed. */
+    List<ProgramKey> end(ProgramKey key) {
+        List<ProgramKey> removed = new ArrayList<>();
+        ProgramTree tree = trees.get(key.root());
+        if (tree != null) {
+            for (ProgramKey agent : List.copyOf(tree.agents.keySet())) {
+                if (agent.equals(key) || agent.id().startsWith(key.id() + "/")) {
+                    tree.agents.remove(agent);
+                    removed.add(agent);
+                }
+            }
+            if (key.equals(tree.root)) {
+                trees.remove(tree.root);
+            }
+        }
+        ended.put(key, true);
+        if (ended.size() > MAX_ENDED) {
+            ended.remove(ended.keySet().iterator().next());
+        }
+        return removed;
+    }
+
+    /** Makes the change that {@code record} stands for. */
+    void apply(JournalRecord record, long nowNs) {
+        switch (record) {
+            case JournalRecord.ProgramStarted started -> start(started, nowNs);
+            case JournalRecord.GrantTaken grant ->
+                    tree(grant.root()).budget.replayGrant(grant.tokens());
+            case JournalRecord.GrantReturned back ->
+                    tree(back.root()).budget.restore(back.spentTokens(), back.spentTokens());
+            case JournalRecord.IntentRecorded intent -> {
+                agent(intent.program())
+                        .orElseThrow()
+                        .openIntents
+                        .put(intent.idempotencyKey(), intent);
+                tree(intent.program()).serviceCalls++;
+            }
+            case JournalRecord.IntentWithdrawn withdrawn -> {
+                agent(withdrawn.program())
+                        .orElseThrow()
+                        .openIntents
+                        .remove(withdrawn.idempotencyKey());
+                tree(withdrawn.program()).serviceCalls--;
+            }
+            case JournalRecord.TurnCompleted turn -> {
+                complete(turn);
+                TurnSummary summary = turn.summary();
+                tree(turn.program())
+                        .budget
+                        .replaySpent(summary.promptTokens() + (long) summary.outputTokens());
+            }
+            case JournalRecord.ServiceCompleted service -> complete(service);
+            case JournalRecord.ProgramEnded ending -> end(ending.program());
+            case JournalRecord.TreeSnapshot part -> {
+                part.records().forEach(inner -> apply(inner, nowNs));
+                tree(part.root()).budget.restore(part.grantedTokens(), part.spentTokens());
+            }
+        }
+    }
+
+    AgentState start(JournalRecord.ProgramStarted started, long nowNs) {
+        ProgramTree tree =
+                trees.computeIfAbsent(
+                        started.program().root(),
+                        root -> new ProgramTree(root, started.template()));
+        tree.lastActiveNs = nowNs;
+        return tree.agent(started.program());
+    }
+
+    void complete(JournalRecord.TurnCompleted turn) {
+        AgentState agent = agent(turn.program()).orElseThrow();
+        agent.answered.put(
+                turn.idempotencyKey(),
+                new Answered.ByModel(turn.digest(), agent.turns.size(), turn.summary()));
+        agent.turns.add(turn);
+        agent.tree.turns++;
+    }
+
+    void complete(JournalRecord.ServiceCompleted service) {
+        AgentState agent = agent(service.program()).orElseThrow();
+        boolean intended = agent.openIntents.remove(service.idempotencyKey()) != null;
+        if (!intended && !agent.calls.containsKey(service.idempotencyKey())) {
+            agent.tree.serviceCalls++; // in a snapshot the intent is no longer told apart
+        }
+        agent.answered.put(
+                service.idempotencyKey(),
+                new Answered.ByService(
+                        service.digest(),
+                        service.status(),
+                        service.contentType(),
+                        service.body(),
+                        service.summary()));
+        agent.tree.turns++;
+    }
+
+    private ProgramTree tree(ProgramKey key) {
+        ProgramTree tree = trees.get(key.root());
+        if (tree == null) {
+            throw new IllegalStateException("record of an unknown program " + key);
+        }
+        return tree;
+    }
+}
