--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallProgress.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallProgress.java
@@ -57,7 +57,8 @@
     void lookUp(Call call) {
         Operation.ServiceCall service = (Operation.ServiceCall) call.request.operation();
         call.phase = Call.Phase.LOOKING_UP;
-        context.act(new ProgramAction.LookUp(call.id, service.target(), call.key()));
+        context.act(
+                new ProgramAction.LookUp(call.id, service.target(), call.agent.key, call.key()));
     }
 
     private void begin(Call call) {
@@ -215,6 +216,7 @@
                                     call.key(),
                                     context.epoch,
                                     service,
+                                    repeatable(call),
                                     call.deadlineNs);
                     case Operation.EndProgram ignored ->
                             throw new IllegalStateException("not a call");
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallerEvent.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallerEvent.java
@@ -1,5 +1,6 @@
 package org.skylarkmast.core.program;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
@@ -55,6 +56,7 @@
     record Refused(Refusal refusal) implements CallerEvent {}
 
     /** Whether nothing follows this event. */
+    @JsonIgnore
     default boolean isFinal() {
         return !(this instanceof Token);
     }
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramAction.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramAction.java
@@ -45,11 +45,13 @@
             String idempotencyKey,
             long epoch,
             Operation.ServiceCall call,
+            boolean repeatable,
             long deadlineNs)
             implements ProgramAction {}
 
     /** Asks a target by key whether a call ran; answered by {@link ProgramEvent.LookedUp}. */
-    record LookUp(long callId, String target, String idempotencyKey) implements ProgramAction {}
+    record LookUp(long callId, String target, ProgramKey program, String idempotencyKey)
+            implements ProgramAction {}
 
     /** Passes an event to a waiting caller. */
     record Emit(long waiterId, CallerEvent event) implements ProgramAction {}
--- /dev/null
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionCalls.java
@@ -0,0 +1,26 @@
+package org.skylarkmast.daemon.partition;
+
+import org.skylarkmast.core.program.ProgramAction;
+import org.skylarkmast.core.scheduling.CallSubmission;
+
+/** Takes calls that partitions want run. */
+public interface PartitionCalls {
+
+    /** Queues a call. */
+    void submit(CallSubmission call);
+
+    /** Takes a call back and cuts it if it is under way. */
+    void withdraw(long callId);
+
+    /** Sends a model call. */
+    void sendModel(PartitionRuntime sender, ProgramAction.SendModel send);
+
+    /** Sends a service call. */
+    void sendService(PartitionRuntime sender, ProgramAction.SendService send);
+
+    /** Asks a target about a call. */
+    void lookUp(PartitionRuntime sender, ProgramAction.LookUp lookUp);
+
+    /** A program is gone. */
+    void release(ProgramAction.ReleaseProgram release);
+}
--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
@@ -64,6 +64,11 @@
         return exchange(request, null, new AbortSignal());
     }
 
+    /** Sends a request that {@code abort} can cut, and reads the answer whole. */
+    public HttpOutcome send(HttpSend request, AbortSignal abort) {
+        return exchange(request, null, abort);
+    }
+
     /**
      * Sends a request and passes the lines of a 2xx answer to {@code consumer} as they come; other
      * answers are returned whole.
