--- /dev/null
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoOptions.java
@@ -0,0 +1,35 @@
+package org.skylarkmast.bench.demo;
+
+import com.beust.jcommander.Parameter;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The options of the demonstration's caller. */
+final class DemoOptions {
+
+    @Parameter(
+            names = "--callers",
+            required = true,
+            description = "Callers' addresses of the daemons, host:port, separated by commas")
+    List<String> callers = new ArrayList<>();
+
+    @Parameter(names = "--key", required = true, description = "Bearer key of the workspace")
+    String key;
+
+    @Parameter(
+            names = "--daemons",
+            description = "The daemons as node=pid, separated by commas; used by --kill")
+    List<String> daemons = new ArrayList<>();
+
+    @Parameter(names = "--kill", description = "Kill the program's owner between two turns")
+    boolean kill;
+
+    @Parameter(
+            names = "--order-record",
+            required = true,
+            description = "File in which the plain service notes the calls it ran")
+    String orderRecord;
+
+    @Parameter(names = "--help", help = true, description = "Print this text")
+    boolean help;
+}
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/RequestRouter.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/RequestRouter.java
@@ -33,19 +33,35 @@
     private final OwnerLink link;
     private final LongSupplier clockNs;
     private final DoubleSupplier random;
+    private final Pause pause;
 
     /**
      * @param random values in [0, 1), spreads the looks for a new owner
+     * @param pause waits between two looks for an owner
      */
     public RequestRouter(
             PartitionDirectory directory,
             OwnerLink link,
             LongSupplier clockNs,
-            DoubleSupplier random) {
+            DoubleSupplier random,
+            Pause pause) {
         this.directory = directory;
         this.link = link;
         this.clockNs = clockNs;
         this.random = random;
+        this.pause = pause;
+    }
+
+    /** Waits. */
+    @FunctionalInterface
+    public interface Pause {
+
+        /**
+         * Waits for {@code pauseMs} milliseconds.
+         *
+         * @throws InterruptedException if the wait is to end for good
+         */
+        void pause(long pauseMs) throws InterruptedException;
     }
 
     /** Takes events on their way to a caller. */
@@ -96,7 +112,7 @@
                 }
                 directory.refresh(partition);
             }
-            if (!pause(pauseMs)) {
+            if (!waited(pauseMs)) {
                 break;
             }
             pauseMs = Math.min(LAST_PAUSE_MS, pauseMs * 2);
@@ -153,9 +169,9 @@
         return Optional.empty();
     }
 
-    private boolean pause(long pauseMs) {
+    private boolean waited(long pauseMs) {
         try {
-            Thread.sleep((long) (pauseMs * (0.5 + random.getAsDouble() / 2)));
+            pause.pause((long) (pauseMs * (0.5 + random.getAsDouble() / 2)));
             return true;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
