[daemon] Wire a daemon: owners, calls, callers and peers

The daemon claims partitions, replays their journals, serves callers by any host and forwards to owners over gRPC; copies of records and the configuration are exchanged with peers. Repeatable work goes on while the lease cannot be renewed (nobody can claim then); what may not be repeated needs the lease.

--- a/bin/common.sh
+++ b/bin/common.sh
@@ -24,3 +24,25 @@
     exit 2
   fi
 }
+
+# Builds the programs unless they are built from the sources as they are.
+build_if_needed() {
+  local stamp="$SKYLARKMAST_HOME/skylarkmast-dist/target/built"
+  if [ -e "$stamp" ] && [ -z "$(find "$SKYLARKMAST_HOME" -path '*/src/main/*' -newer "$stamp" -print -quit)" ]; then
+    return 0
+  fi
+  require_maven
+  echo "building ..." >&2
+  (cd "$SKYLARKMAST_HOME" \
+    && mvn -q -B -DskipTests -Dspotless.check.skip -Dcheckstyle.skip package >&2)
+  touch "$stamp"
+}
+
+# Runs a main class of the built programs in place of this shell.
+run_java() {
+  local heap="$1" main="$2"
+  shift 2
+  exec "$JAVA_HOME/bin/java" "-Xmx$heap" -XX:+UseSerialGC -Dfile.encoding=UTF-8 \
+    --enable-native-access=ALL-UNNAMED --sun-misc-unsafe-memory-access=allow \
+    -cp "$SKYLARKMAST_HOME/skylarkmast-dist/target/lib/*" "$main" "$@"
+}
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoOptions.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoOptions.java
@@ -1,6 +1,7 @@
 package org.skylarkmast.bench.demo;
 
 import com.beust.jcommander.Parameter;
+
 import java.util.ArrayList;
 import java.util.List;
 
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallProgress.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallProgress.java
@@ -1,6 +1,5 @@
 package org.skylarkmast.core.program;
 
-import java.util.Optional;
 import org.skylarkmast.core.config.Budget;
 import org.skylarkmast.core.config.Model;
 import org.skylarkmast.core.config.Priority;
@@ -12,6 +11,8 @@
 import org.skylarkmast.core.scheduling.Destination;
 import org.skylarkmast.core.scheduling.RefusalReason;
 
+import java.util.Optional;
+
 /**
  * Takes calls from their turn in the program's order to their recorded end.
  *
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallerEvent.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallerEvent.java
@@ -3,9 +3,11 @@
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
-import java.util.List;
+
 import org.skylarkmast.core.key.ProgramKey;
 
+import java.util.List;
+
 /** What a caller's request brings forth: tokens, then exactly one final event. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
 @JsonSubTypes({
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/JournalRecord.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/JournalRecord.java
@@ -2,9 +2,11 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
-import java.util.List;
+
 import org.skylarkmast.core.key.ProgramKey;
 
+import java.util.List;
+
 /** What is kept of programs; replaying the records of a partition in order gives its state. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
 @JsonSubTypes({
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionMachine.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionMachine.java
@@ -1,13 +1,14 @@
 package org.skylarkmast.core.program;
 
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import org.skylarkmast.core.config.Configuration;
 import org.skylarkmast.core.journal.AppendOutcome;
 import org.skylarkmast.core.journal.ReplayedPartition;
 import org.skylarkmast.core.key.ProgramKey;
 
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
 /**
  * Decides about all programs of one partition, for the node that owns it.
  *
@@ -98,6 +99,13 @@
         return context.state.agent(program).isPresent();
     }
 
+    /** All live programs and sub-agents. */
+    public List<ProgramKey> agents() {
+        return context.state.trees.values().stream()
+                .flatMap(tree -> tree.agents.keySet().stream())
+                .toList();
+    }
+
     /** Calls per live program, for status pages. */
     public Map<ProgramKey, Integer> programs() {
         Map<ProgramKey, Integer> turns = new java.util.LinkedHashMap<>();
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramAction.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramAction.java
@@ -1,9 +1,10 @@
 package org.skylarkmast.core.program;
 
-import java.util.List;
 import org.skylarkmast.core.key.ProgramKey;
 import org.skylarkmast.core.scheduling.CallSubmission;
 
+import java.util.List;
+
 /** What a partition's programs want done. */
 public sealed interface ProgramAction {
 
--- a/skylarkmast-core/src/test/java/org/skylarkmast/core/program/PartitionFixture.java
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/program/PartitionFixture.java
@@ -1,8 +1,5 @@
 package org.skylarkmast.core.program;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
 import org.skylarkmast.core.config.Budget;
 import org.skylarkmast.core.config.Configuration;
 import org.skylarkmast.core.config.Model;
@@ -15,6 +12,10 @@
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.key.ProgramKey;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
 /** A partition's machine with a journal and callers in memory; events are fed by hand. */
 final class PartitionFixture {
     static final ProgramKey JOB = new ProgramKey("cycle", "job-1");
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/CallDispatch.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/CallDispatch.java
@@ -1,15 +1,8 @@
 package org.skylarkmast.daemon.dispatch;
 
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executor;
-import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import org.skylarkmast.core.config.Configuration;
 import org.skylarkmast.core.config.Target;
+import org.skylarkmast.core.key.ProgramKey;
 import org.skylarkmast.core.ownership.PartitionDirectory;
 import org.skylarkmast.core.program.ProgramAction;
 import org.skylarkmast.core.program.ProgramEvent;
@@ -23,6 +16,16 @@
 import org.skylarkmast.http.AbortSignal;
 import org.skylarkmast.http.HttpClient;
 
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
 /**
  * Runs the scheduler on its event loop and sends what it dispatches.
  *
@@ -108,6 +111,11 @@
         cut(callId);
     }
 
+    @Override
+    public void adopt(ProgramKey program) {
+        toScheduler(new SchedulingEvent.ProgramAdopted(program));
+    }
+
     @Override
     public void release(ProgramAction.ReleaseProgram release) {
         toScheduler(new SchedulingEvent.ProgramEnded(release.program()));
@@ -116,7 +124,7 @@
     @Override
     public void sendModel(PartitionRuntime sender, ProgramAction.SendModel send) {
         run(
-                sender.partition(),
+                () -> directory.heldHere(sender.partition()),
                 send.callId(),
                 send.runner(),
                 (runner, abort) -> models.send(send, runner.runner().address(), "", abort));
@@ -125,7 +133,7 @@
     @Override
     public void sendService(PartitionRuntime sender, ProgramAction.SendService send) {
         run(
-                sender.partition(),
+                () -> maySend(sender.partition(), send.repeatable()),
                 send.callId(),
                 send.runner(),
                 (runner, abort) ->
@@ -144,6 +152,13 @@
         attempts.execute(() -> services.lookUp(lookUp, lookUp.program(), runners));
     }
 
+    /** What may be repeated goes on while the lease cannot be renewed, as nobody can claim then. */
+    private boolean maySend(int partition, boolean repeatable) {
+        return repeatable
+                ? directory.heldHere(partition)
+                : directory.ownedHere(partition, clockNs.getAsLong());
+    }
+
     /** A runner with its target. */
     private record Located(Target target, Target.Runner runner) {}
 
@@ -153,14 +168,13 @@
         void to(Located runner, AbortSignal abort);
     }
 
-    private void run(int partition, long callId, String runnerName, Send send) {
+    private void run(BooleanSupplier maySend, long callId, String runnerName, Send send) {
         attempts.execute(
                 () -> {
                     Optional<Located> runner = locate(runnerName);
                     AbortSignal abort = new AbortSignal();
                     // The last look before sending: past it only the target's own check is left.
-                    if (runner.isEmpty()
-                            || !directory.ownedHere(partition, clockNs.getAsLong())) {
+                    if (runner.isEmpty() || !maySend.getAsBoolean()) {
                         failed(callId, CallFailure.NOT_SENT, 0);
                         return;
                     }
@@ -183,8 +197,7 @@
             case SchedulingAction.Refuse r ->
                     toPartition(
                             r.callId(),
-                            new ProgramEvent.CallRefused(
-                                    r.callId(), r.reason(), r.retryAfterMs()));
+                            new ProgramEvent.CallRefused(r.callId(), r.reason(), r.retryAfterMs()));
             case SchedulingAction.GiveUp g ->
                     toPartition(
                             g.callId(),
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/ModelSender.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/ModelSender.java
@@ -1,12 +1,5 @@
 package org.skylarkmast.daemon.dispatch;
 
-import java.net.URLEncoder;
-import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.program.Message;
 import org.skylarkmast.core.program.ProgramAction;
@@ -18,6 +11,14 @@
 import org.skylarkmast.http.HttpOutcome;
 import org.skylarkmast.http.HttpSend;
 
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
 /** Sends model calls to engines and follows their streams; blocking, for virtual threads. */
 final class ModelSender {
 
@@ -57,8 +58,9 @@
                                     send.callId(),
                                     new ProgramEvent.TokenArrived(send.callId(), index, text));
                         });
-        HttpOutcome outcome = client.stream(request(send, address, traceParent), abort, stream::onLine);
-        for (int i = 0; i < MAX_RESUMES && resumes(outcome, stream, abort, send); i++) {
+        HttpOutcome outcome =
+                client.stream(request(send, address, traceParent), abort, stream::onLine);
+        for (int i = 0; i < MAX_RESUMES && resumes(outcome, stream, abort); i++) {
             String path = streamPath(stream) + "?offset=" + stream.tokens();
             HttpSend resume = HttpSend.get(address, path, silenceMs(send));
             outcome = client.stream(resume, abort, stream::onLine);
@@ -70,11 +72,7 @@
         tell(send.callId(), outcome, stream);
     }
 
-    private static boolean resumes(
-            HttpOutcome outcome,
-            EngineStream stream,
-            AbortSignal abort,
-            ProgramAction.SendModel send) {
+    private static boolean resumes(HttpOutcome outcome, EngineStream stream, AbortSignal abort) {
         return !(outcome instanceof HttpOutcome.NotSent)
                 && !stream.whole()
                 && stream.resumable()
@@ -102,8 +100,7 @@
         boolean begun = stream.tokens() > 0;
         switch (outcome) {
             case HttpOutcome.NotSent ignored ->
-                    results.failed(
-                            callId, begun ? CallFailure.BROKEN : CallFailure.NOT_SENT, 0);
+                    results.failed(callId, begun ? CallFailure.BROKEN : CallFailure.NOT_SENT, 0);
             case HttpOutcome.Broken ignored -> results.failed(callId, CallFailure.BROKEN, 0);
             case HttpOutcome.TimedOut ignored -> results.failed(callId, CallFailure.TIMED_OUT, 0);
             case HttpOutcome.Answered answered when begun ->
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/ServiceSender.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/ServiceSender.java
@@ -1,12 +1,5 @@
 package org.skylarkmast.daemon.dispatch;
 
-import java.net.URLEncoder;
-import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 import org.skylarkmast.core.config.Target;
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.key.ProgramKey;
@@ -18,8 +11,17 @@
 import org.skylarkmast.http.HttpClient;
 import org.skylarkmast.http.HttpOutcome;
 import org.skylarkmast.http.HttpSend;
+
 import tools.jackson.databind.JsonNode;
 
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
 /** Sends calls to plain services; blocking, for virtual threads. */
 final class ServiceSender {
     private static final long LOOK_UP_TIMEOUT_MS = 3_000;
@@ -73,8 +75,7 @@
         String type = answered.header("content-type").orElse("application/octet-stream");
         results.toPartition(
                 callId,
-                new ProgramEvent.ServiceFinished(
-                        callId, answered.status(), type, answered.body()));
+                new ProgramEvent.ServiceFinished(callId, answered.status(), type, answered.body()));
         results.toScheduler(new SchedulingEvent.Succeeded(callId, 0, 0, 0));
     }
 
@@ -101,8 +102,7 @@
         results.toPartition(lookUp.callId(), found);
     }
 
-    private HttpSend request(
-            ProgramAction.SendService send, String address, String traceParent) {
+    private HttpSend request(ProgramAction.SendService send, String address, String traceParent) {
         long leftMs = TimeUnit.NANOSECONDS.toMillis(send.deadlineNs() - clockNs.getAsLong());
         Map<String, String> headers =
                 new HashMap<>(
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/AnswerMerger.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/AnswerMerger.java
@@ -1,16 +1,18 @@
 package org.skylarkmast.daemon.entry;
 
-import java.util.ArrayList;
-import java.util.List;
 import org.skylarkmast.core.program.CallerEvent;
 import org.skylarkmast.core.program.Execution;
 import org.skylarkmast.core.program.Refusal;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * Makes one answer of the events of several owners.
  *
- * <p>A new owner tells an answer from its start; what the caller has is left out, and an answer that
- * differs from what the caller has ends in a refusal rather than in a mixture. Not thread-safe.
+ * <p>A new owner tells an answer from its start; what the caller has is left out, and an answer
+ * that differs from what the caller has ends in a refusal rather than in a mixture. Not
+ * thread-safe.
  */
 final class AnswerMerger {
     private static final long RETRY_AFTER_MS = 1_000;
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/CallersHandler.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/CallersHandler.java
@@ -1,17 +1,5 @@
 package org.skylarkmast.daemon.entry;
 
-import java.io.IOException;
-import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.Executor;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Function;
-import java.util.function.Supplier;
 import org.skylarkmast.core.config.Configuration;
 import org.skylarkmast.core.config.Workspace;
 import org.skylarkmast.core.json.JsonUtil;
@@ -24,6 +12,19 @@
 import org.skylarkmast.http.HttpHandler;
 import org.skylarkmast.http.HttpReply;
 
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
 /** Serves callers: chat completions, calls to plain services, reading and ending programs. */
 public final class CallersHandler implements HttpHandler {
     private static final String CHAT_PATH = "/v1/chat/completions";
@@ -261,7 +262,6 @@
     }
 
     private static HttpReply methodNotAllowed(String allowed) {
-        return new HttpReply.Full(
-                405, Map.of("Allow", allowed), "text/plain", new byte[0]);
+        return new HttpReply.Full(405, Map.of("Allow", allowed), "text/plain", new byte[0]);
     }
 }
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/ChatCodec.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/ChatCodec.java
@@ -1,17 +1,19 @@
 package org.skylarkmast.daemon.entry;
 
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.program.Message;
 import org.skylarkmast.core.program.Operation;
 import org.skylarkmast.core.program.TurnSummary;
+
 import tools.jackson.core.JacksonException;
 import tools.jackson.databind.JsonNode;
 
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
 /** Reads and writes OpenAI-style chat completions. */
 final class ChatCodec {
     private static final Set<String> ROLES = Set.of("system", "user", "assistant", "tool");
@@ -53,7 +55,10 @@
             String role = message.path("role").asString("");
             if (!ROLES.contains(role) || !message.path("content").isString()) {
                 return new Parsed.Wrong(
-                        "messages[" + messages.size() + "] must have a role of " + ROLES
+                        "messages["
+                                + messages.size()
+                                + "] must have a role of "
+                                + ROLES
                                 + " and a string as content");
             }
             messages.add(new Message(role, message.path("content").asString()));
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/Problems.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/Problems.java
@@ -1,14 +1,15 @@
 package org.skylarkmast.daemon.entry;
 
-import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
-import java.util.Locale;
-import java.util.Map;
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.program.Execution;
 import org.skylarkmast.core.program.Refusal;
 import org.skylarkmast.http.HttpReply;
 
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+
 /** Refusals as RFC 9457 problem details. */
 final class Problems {
     private static final long MS_PER_SECOND = 1_000;
@@ -30,7 +31,9 @@
         };
     }
 
-    /** The problem's members; {@code execution} is {@code not-run}, {@code unknown} or {@code ran}. */
+    /**
+     * The problem's members; {@code execution} is {@code not-run}, {@code unknown} or {@code ran}.
+     */
     static Map<String, Object> members(Refusal refusal) {
         Map<String, Object> members = new LinkedHashMap<>();
         String kind = refusal.kind().name().toLowerCase(Locale.ROOT).replace('_', '-');
@@ -50,8 +53,7 @@
                         ? Map.of()
                         : Map.of(
                                 "Retry-After",
-                                Long.toString(
-                                        Math.ceilDiv(refusal.retryAfterMs(), MS_PER_SECOND)));
+                                Long.toString(Math.ceilDiv(refusal.retryAfterMs(), MS_PER_SECOND)));
         return new HttpReply.Full(
                 status(refusal),
                 headers,
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/RequestRouter.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/RequestRouter.java
@@ -1,11 +1,5 @@
 package org.skylarkmast.daemon.entry;
 
-import java.util.Optional;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
-import java.util.function.DoubleSupplier;
-import java.util.function.LongSupplier;
 import org.skylarkmast.core.ownership.OwnerLocation;
 import org.skylarkmast.core.ownership.PartitionDirectory;
 import org.skylarkmast.core.program.CallerEvent;
@@ -13,6 +7,13 @@
 import org.skylarkmast.core.program.Execution;
 import org.skylarkmast.core.program.Refusal;
 
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
+
 /**
  * Brings a request to the owner of its program and its events back, across changes of owner.
  *
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/ownership/OwnershipService.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/ownership/OwnershipService.java
@@ -1,14 +1,5 @@
 package org.skylarkmast.daemon.ownership;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.Executor;
-import java.util.concurrent.atomic.AtomicReferenceArray;
-import java.util.function.LongSupplier;
 import org.skylarkmast.core.journal.JournalState;
 import org.skylarkmast.core.key.ProgramKey;
 import org.skylarkmast.core.ownership.OwnerLocation;
@@ -25,6 +16,16 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicReferenceArray;
+import java.util.function.LongSupplier;
+
 /**
  * Carries out the ownership decisions and publishes the directory of owners.
  *
@@ -145,12 +146,7 @@
         return published.get(partition).owned() && session.leaseValidAt(atNs);
     }
 
-    /**
-     * Whether this node held the partition last and no other is known to have claimed it.
-     *
-     * <p>Unlike {@link #ownedHere} this stays true while the key-value service is down; it permits
-     * only work that may be repeated.
-     */
+    @Override
     public boolean heldHere(int partition) {
         return published.get(partition).held();
     }
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionCalls.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionCalls.java
@@ -1,5 +1,6 @@
 package org.skylarkmast.daemon.partition;
 
+import org.skylarkmast.core.key.ProgramKey;
 import org.skylarkmast.core.program.ProgramAction;
 import org.skylarkmast.core.scheduling.CallSubmission;
 
@@ -21,6 +22,9 @@
     /** Asks a target about a call. */
     void lookUp(PartitionRuntime sender, ProgramAction.LookUp lookUp);
 
+    /** A program that another node ran before is this node's now. */
+    void adopt(ProgramKey program);
+
     /** A program is gone. */
     void release(ProgramAction.ReleaseProgram release);
 }
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRegistry.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRegistry.java
@@ -1,14 +1,5 @@
 package org.skylarkmast.daemon.partition;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executor;
-import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import org.skylarkmast.core.config.Configuration;
 import org.skylarkmast.core.journal.Journal;
 import org.skylarkmast.core.journal.ReplayedPartition;
@@ -21,6 +12,16 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
 /** The partitions this node owns; thread-safe. */
 public final class PartitionRegistry implements OwnershipListener {
     private static final Logger LOG = LoggerFactory.getLogger(PartitionRegistry.class);
@@ -84,6 +85,7 @@
                         calls,
                         waiters,
                         clockNs);
+        machine.agents().forEach(calls::adopt);
         owned.put(partition, runtime);
         runtime.post(new ProgramEvent.ConfigurationChanged(configuration.get()));
         LOG.atDebug()
@@ -174,7 +176,8 @@
         if (runtime == null) {
             answer.accept(Optional.empty());
         } else {
-            runtime.ask(machine -> machine.isLive(program), live -> answer.accept(Optional.of(live)));
+            runtime.ask(
+                    machine -> machine.isLive(program), live -> answer.accept(Optional.of(live)));
         }
     }
 
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRuntime.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRuntime.java
@@ -1,9 +1,5 @@
 package org.skylarkmast.daemon.partition;
 
-import java.util.List;
-import java.util.concurrent.Executor;
-import java.util.function.Function;
-import java.util.function.LongSupplier;
 import org.skylarkmast.core.journal.AppendOutcome;
 import org.skylarkmast.core.journal.Journal;
 import org.skylarkmast.core.json.JsonUtil;
@@ -11,6 +7,11 @@
 import org.skylarkmast.core.program.ProgramAction;
 import org.skylarkmast.core.program.ProgramEvent;
 
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
 /**
  * Runs one partition's state machine on its event loop and carries its actions out.
  *
@@ -113,9 +114,7 @@
     }
 
     private void snapshotIfDue() {
-        if (snapshotUnderWay
-                || recordsSinceSnapshot < RECORDS_PER_SNAPSHOT
-                || !machine.settled()) {
+        if (snapshotUnderWay || recordsSinceSnapshot < RECORDS_PER_SNAPSHOT || !machine.settled()) {
             return;
         }
         snapshotUnderWay = true;
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/OwnerCalls.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/OwnerCalls.java
@@ -1,11 +1,10 @@
 package org.skylarkmast.daemon.peer;
 
 import com.google.protobuf.ByteString;
+
 import io.grpc.Context;
 import io.grpc.stub.StreamObserver;
-import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Consumer;
+
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.ownership.OwnerLocation;
 import org.skylarkmast.core.program.CallerEvent;
@@ -15,6 +14,10 @@
 import org.skylarkmast.rpc.peer.PeerProto.CallReply;
 import org.skylarkmast.rpc.peer.PeerProto.CallRequest;
 
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
 /** Passes requests to their owner: into this node's partitions, or to a peer; thread-safe. */
 public final class OwnerCalls implements OwnerLink {
 
@@ -74,7 +77,9 @@
         return () -> context.cancel(null);
     }
 
-    /** Turns a peer's replies into events, and the end of a stream without a final one into a gone. */
+    /**
+     * Turns a peer's replies into events, and the end of a stream without a final one into a gone.
+     */
     private static final class ReplyObserver implements StreamObserver<CallReply> {
         private final Consumer<CallerEvent> events;
         private final Consumer<String> gone;
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/PeerService.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/PeerService.java
@@ -1,10 +1,10 @@
 package org.skylarkmast.daemon.peer;
 
 import com.google.protobuf.ByteString;
+
 import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
-import java.util.Optional;
-import java.util.function.Function;
+
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.program.CallerEvent;
 import org.skylarkmast.core.program.CallerRequest;
@@ -22,9 +22,13 @@
 import org.skylarkmast.rpc.peer.PeerProto.StoreCopiesReply;
 import org.skylarkmast.rpc.peer.PeerProto.StoreCopiesRequest;
 
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
 /** Serves peers; the short exchanges are functions of the slices that they belong to. */
 public final class PeerService extends PeerGrpc.PeerImplBase {
-    private final PartitionRegistry registry;
+    private final Supplier<PartitionRegistry> registry;
     private final Exchanges exchanges;
 
     /** The short exchanges between peers. */
@@ -35,7 +39,7 @@
             Function<FetchConfigurationRequest, FetchConfigurationReply> fetchConfiguration) {}
 
     /** Serves forwarded calls from {@code registry}. */
-    public PeerService(PartitionRegistry registry, Exchanges exchanges) {
+    public PeerService(Supplier<PartitionRegistry> registry, Exchanges exchanges) {
         this.registry = registry;
         this.exchanges = exchanges;
     }
@@ -49,8 +53,8 @@
         int partition = request.program().partition();
         SerialReplies serial = new SerialReplies(replies);
         long[] waiterId = {0};
-        replies.setOnCancelHandler(() -> registry.waiterGone(partition, waiterId[0]));
-        Optional<Long> waiter = registry.request(request, serial::event);
+        replies.setOnCancelHandler(() -> registry.get().waiterGone(partition, waiterId[0]));
+        Optional<Long> waiter = registry.get().request(request, serial::event);
         if (waiter.isPresent()) {
             waiterId[0] = waiter.get();
         } else {
@@ -64,14 +68,12 @@
     }
 
     @Override
-    public void storeCopies(
-            StoreCopiesRequest request, StreamObserver<StoreCopiesReply> observer) {
+    public void storeCopies(StoreCopiesRequest request, StreamObserver<StoreCopiesReply> observer) {
         answer(exchanges.storeCopies().apply(request), observer);
     }
 
     @Override
-    public void fetchCopies(
-            FetchCopiesRequest request, StreamObserver<FetchCopiesReply> observer) {
+    public void fetchCopies(FetchCopiesRequest request, StreamObserver<FetchCopiesReply> observer) {
         answer(exchanges.fetchCopies().apply(request), observer);
     }
 
@@ -86,7 +88,9 @@
         observer.onCompleted();
     }
 
-    /** Writes replies one at a time, since events come from loops and the stream takes one writer. */
+    /**
+     * Writes replies one at a time, since events come from loops and the stream takes one writer.
+     */
     private static final class SerialReplies {
         private final ServerCallStreamObserver<CallReply> replies;
         private boolean ended;
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/entry/RequestRouterTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/entry/RequestRouterTest.java
@@ -2,14 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -24,6 +16,15 @@
 import org.skylarkmast.core.program.Refusal;
 import org.skylarkmast.core.program.TurnSummary;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
 class RequestRouterTest {
     private static final ProgramKey JOB = new ProgramKey("cycle", "job-1");
     private static final CallerRequest REQUEST =
@@ -123,10 +124,16 @@
                         return false;
                     }
 
+                    @Override
+                    public boolean heldHere(int partition) {
+                        return false;
+                    }
+
                     @Override
                     public void refresh(int partition) {}
                 };
-        return new RequestRouter(directory, link, nowNs::get, () -> 0, ms -> nowNs.addAndGet(ms * NS_PER_MS));
+        return new RequestRouter(
+                directory, link, nowNs::get, () -> 0, ms -> nowNs.addAndGet(ms * NS_PER_MS));
     }
 
     private static void tell(Object reply, Consumer<CallerEvent> events, Consumer<String> gone) {
