--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionMachine.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionMachine.java
@@ -6,7 +6,6 @@
 import org.skylarkmast.core.key.ProgramKey;
 
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -106,11 +105,28 @@
                 .toList();
     }
 
-    /** Calls per live program, for status pages. */
-    public Map<ProgramKey, Integer> programs() {
-        Map<ProgramKey, Integer> turns = new java.util.LinkedHashMap<>();
-        context.state.trees.values().forEach(tree -> turns.put(tree.root, tree.turns));
-        return turns;
+    /** The live root programs, for operators. */
+    public List<ProgramSummary> programs() {
+        return context.state.trees.values().stream()
+                .map(
+                        tree ->
+                                new ProgramSummary(
+                                        tree.root,
+                                        tree.template,
+                                        tree.turns,
+                                        tree.serviceCalls,
+                                        tree.budget.spentTokens(),
+                                        tree.budget.grantedTokens(),
+                                        context.nowNs - tree.lastActiveNs))
+                .toList();
+    }
+
+    /** The histories of a root program and of its sub-agents; empty if it is not live. */
+    public List<CallerEvent.ProgramRead> histories(ProgramKey root) {
+        ProgramTree tree = context.state.trees.get(root);
+        return tree == null
+                ? List.of()
+                : tree.agents.values().stream().map(AgentState::read).toList();
     }
 
     /** What a caller would read of the program. */
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
@@ -2,6 +2,7 @@
 
 import io.grpc.Server;
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 import org.skylarkmast.core.config.Configuration;
 import org.skylarkmast.core.ownership.OwnerLocation;
@@ -10,8 +11,11 @@
 import org.skylarkmast.core.scheduling.SchedulerSettings;
 import org.skylarkmast.core.scheduling.SchedulingEvent;
 import org.skylarkmast.core.store.KeyValueStore;
+import org.skylarkmast.daemon.admin.AdminHandler;
+import org.skylarkmast.daemon.admin.ObjectsResource;
 import org.skylarkmast.daemon.configuration.ConfigurationFile;
 import org.skylarkmast.daemon.configuration.ConfigurationKeeper;
+import org.skylarkmast.daemon.configuration.ConfigurationPublisher;
 import org.skylarkmast.daemon.configuration.ConfigurationReader;
 import org.skylarkmast.daemon.dispatch.CallDispatch;
 import org.skylarkmast.daemon.entry.CallersHandler;
@@ -24,7 +28,6 @@
 import org.skylarkmast.daemon.peer.PeerService;
 import org.skylarkmast.daemon.settings.Settings;
 import org.skylarkmast.http.HttpClient;
-import org.skylarkmast.http.HttpReply;
 import org.skylarkmast.http.HttpServer;
 import org.skylarkmast.rpc.peer.PeerProto.HeartbeatReply;
 import org.slf4j.Logger;
@@ -255,12 +258,53 @@
     }
 
     private HttpServer startAdministrationServer() throws IOException {
+        ConfigurationPublisher publisher =
+                new ConfigurationPublisher(
+                        store,
+                        new ConfigurationReader(store),
+                        configuration::published,
+                        Daemon::pauseMs);
+        AdminSources sources =
+                new AdminSources(
+                        settings,
+                        owned,
+                        registry.get(),
+                        dispatch,
+                        configuration::current,
+                        () -> notReadyReason().isEmpty(),
+                        draining::get);
+        AdminHandler handler =
+                new AdminHandler(
+                        settings.administration().operatorKeySha256(),
+                        this::notReadyReason,
+                        new PrometheusRegistry(),
+                        new ObjectsResource(
+                                configuration::current,
+                                publisher::publish,
+                                () -> UUID.randomUUID().toString()),
+                        sources,
+                        sources,
+                        sources);
         HostPort address = HostPort.parse(settings.addresses().administration());
         return HttpServer.start(
-                address.host(),
-                address.port(),
-                settings.limits().maxBodyBytes(),
-                call -> HttpReply.text(200, "ok\n"));
+                address.host(), address.port(), settings.limits().maxBodyBytes(), handler);
+    }
+
+    private Optional<String> notReadyReason() {
+        if (draining.get()) {
+            return Optional.of("leaving");
+        }
+        return configuration.current().revision() == 0
+                ? Optional.of("no configuration yet")
+                : Optional.empty();
+    }
+
+    private static void pauseMs(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private static void stopOnBrokenInvariant(RuntimeException broken) {
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRegistry.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRegistry.java
@@ -9,6 +9,7 @@
 import org.skylarkmast.core.program.CallerRequest;
 import org.skylarkmast.core.program.PartitionMachine;
 import org.skylarkmast.core.program.ProgramEvent;
+import org.skylarkmast.core.program.ProgramSummary;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -16,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicReference;
@@ -170,19 +172,25 @@
         return new ArrayList<>(owned.keySet());
     }
 
-    /** Asks whether a program is live; {@code answer} gets empty if it is not owned here. */
-    public void isLive(ProgramKey program, Consumer<Optional<Boolean>> answer) {
-        PartitionRuntime runtime = owned.get(program.partition());
-        if (runtime == null) {
-            answer.accept(Optional.empty());
-        } else {
-            runtime.ask(
-                    machine -> machine.isLive(program), live -> answer.accept(Optional.of(live)));
-        }
+    /** Whether a program is live; empty if its partition is not owned here. */
+    public Optional<CompletableFuture<Boolean>> isLive(ProgramKey program) {
+        return Optional.ofNullable(owned.get(program.partition()))
+                .map(runtime -> runtime.ask(machine -> machine.isLive(program)));
+    }
+
+    /** The live root programs of all owned partitions, once every partition has told. */
+    public CompletableFuture<List<ProgramSummary>> programs() {
+        List<CompletableFuture<List<ProgramSummary>>> parts =
+                owned.values().stream()
+                        .map(runtime -> runtime.ask(PartitionMachine::programs))
+                        .toList();
+        return CompletableFuture.allOf(parts.toArray(new CompletableFuture<?>[0]))
+                .thenApply(all -> parts.stream().flatMap(part -> part.join().stream()).toList());
     }
 
-    /** Asks each owned partition for its root programs and their calls so far. */
-    public void programs(Consumer<Map<ProgramKey, Integer>> each) {
-        owned.values().forEach(runtime -> runtime.ask(PartitionMachine::programs, each));
+    /** The histories of a root program; empty if its partition is not owned here. */
+    public Optional<CompletableFuture<List<CallerEvent.ProgramRead>>> histories(ProgramKey root) {
+        return Optional.ofNullable(owned.get(root.partition()))
+                .map(runtime -> runtime.ask(machine -> machine.histories(root)));
     }
 }
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRuntime.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRuntime.java
@@ -8,6 +8,7 @@
 import org.skylarkmast.core.program.ProgramEvent;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -62,9 +63,9 @@
         loop.execute(() -> handle(event));
     }
 
-    /** Runs {@code question} on the loop and passes its answer to {@code answer} there. */
-    <T> void ask(Function<PartitionMachine, T> question, java.util.function.Consumer<T> answer) {
-        loop.execute(() -> answer.accept(question.apply(machine)));
+    /** Answers a question about the machine, which is put to it on its loop. */
+    <T> CompletableFuture<T> ask(Function<PartitionMachine, T> question) {
+        return CompletableFuture.supplyAsync(() -> question.apply(machine), loop);
     }
 
     /** Begins a hand-over; {@code quiet} runs once nothing of the partition is under way. */
