--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoCaller.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoCaller.java
@@ -1,19 +1,17 @@
 package org.skylarkmast.bench.demo;
 
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.http.AbortSignal;
 import org.skylarkmast.http.HttpClient;
 import org.skylarkmast.http.HttpOutcome;
 import org.skylarkmast.http.HttpSend;
-
 import tools.jackson.databind.JsonNode;
 
-import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-
 /** Sends a caller's requests, to another daemon under the same key where one does not answer. */
 final class DemoCaller {
     private static final long TIMEOUT_MS = 60_000;
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoMain.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoMain.java
@@ -2,12 +2,10 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
-
-import org.skylarkmast.http.HttpClient;
-
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import org.skylarkmast.http.HttpClient;
 
 /** Runs the demonstration against daemons that are up; exits 0 only if all was right. */
 public final class DemoMain {
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoOptions.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoOptions.java
@@ -1,7 +1,6 @@
 package org.skylarkmast.bench.demo;
 
 import com.beust.jcommander.Parameter;
-
 import java.util.ArrayList;
 import java.util.List;
 
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoProgram.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoProgram.java
@@ -1,10 +1,5 @@
 package org.skylarkmast.bench.demo;
 
-import org.skylarkmast.core.json.JsonUtil;
-import org.skylarkmast.http.HttpOutcome;
-
-import tools.jackson.databind.JsonNode;
-
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
@@ -13,6 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.skylarkmast.core.json.JsonUtil;
+import org.skylarkmast.http.HttpOutcome;
+import tools.jackson.databind.JsonNode;
 
 /** Runs one program through its turns and checks everything that is said of it. */
 final class DemoProgram {
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/AgentState.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/AgentState.java
@@ -1,7 +1,5 @@
 package org.skylarkmast.core.program;
 
-import org.skylarkmast.core.key.ProgramKey;
-
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -9,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.skylarkmast.core.key.ProgramKey;
 
 /** One program or sub-agent: its history, its requests and the order of its calls. */
 final class AgentState {
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/BudgetGate.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/BudgetGate.java
@@ -1,12 +1,11 @@
 package org.skylarkmast.core.program;
 
-import org.skylarkmast.core.config.Budget;
-import org.skylarkmast.core.journal.AppendOutcome;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.skylarkmast.core.config.Budget;
+import org.skylarkmast.core.journal.AppendOutcome;
 
 /** Lets calls through once committed grants cover their worst case. Not thread-safe. */
 final class BudgetGate {
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallEnds.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallEnds.java
@@ -1,8 +1,7 @@
 package org.skylarkmast.core.program;
 
-import org.skylarkmast.core.journal.AppendOutcome;
-
 import java.util.function.Consumer;
+import org.skylarkmast.core.journal.AppendOutcome;
 
 /** Ends calls: gives back what they hold, tells their callers, starts what waited behind them. */
 final class CallEnds {
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallProgress.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallProgress.java
@@ -1,5 +1,6 @@
 package org.skylarkmast.core.program;
 
+import java.util.Optional;
 import org.skylarkmast.core.config.Budget;
 import org.skylarkmast.core.config.Model;
 import org.skylarkmast.core.config.Priority;
@@ -11,8 +12,6 @@
 import org.skylarkmast.core.scheduling.Destination;
 import org.skylarkmast.core.scheduling.RefusalReason;
 
-import java.util.Optional;
-
 /**
  * Takes calls from their turn in the program's order to their recorded end.
  *
@@ -145,7 +144,8 @@
                                 call.maxTokens,
                                 priority.level(),
                                 priority.maxWaitMs(),
-                                call.deadlineNs)));
+                                call.deadlineNs),
+                        call.request.traceParent()));
     }
 
     /** The scheduler chose a runner. */
@@ -207,7 +207,8 @@
                                 turn.model(),
                                 messages,
                                 call.maxTokens,
-                                call.deadlineNs);
+                                call.deadlineNs,
+                                call.request.traceParent());
                     }
                     case Operation.ServiceCall service ->
                             new ProgramAction.SendService(
@@ -218,7 +219,8 @@
                                     context.epoch,
                                     service,
                                     repeatable(call),
-                                    call.deadlineNs);
+                                    call.deadlineNs,
+                                    call.request.traceParent());
                     case Operation.EndProgram ignored ->
                             throw new IllegalStateException("not a call");
                     case Operation.ReadProgram ignored ->
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallerEvent.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallerEvent.java
@@ -3,10 +3,8 @@
 import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
-
-import org.skylarkmast.core.key.ProgramKey;
-
 import java.util.List;
+import org.skylarkmast.core.key.ProgramKey;
 
 /** What a caller's request brings forth: tokens, then exactly one final event. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/JournalRecord.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/JournalRecord.java
@@ -2,10 +2,8 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
-
-import org.skylarkmast.core.key.ProgramKey;
-
 import java.util.List;
+import org.skylarkmast.core.key.ProgramKey;
 
 /** What is kept of programs; replaying the records of a partition in order gives its state. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "kind")
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/Operation.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/Operation.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
-
 import java.util.List;
 
 /** What a caller asks of a program. */
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionContext.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionContext.java
@@ -1,15 +1,14 @@
 package org.skylarkmast.core.program;
 
-import org.skylarkmast.core.config.Configuration;
-import org.skylarkmast.core.config.ProgramTemplate;
-import org.skylarkmast.core.journal.AppendOutcome;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.skylarkmast.core.config.Configuration;
+import org.skylarkmast.core.config.ProgramTemplate;
+import org.skylarkmast.core.journal.AppendOutcome;
 
 /** What the parts of a {@link PartitionMachine} share. Not thread-safe. */
 final class PartitionContext {
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionMachine.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionMachine.java
@@ -1,13 +1,12 @@
 package org.skylarkmast.core.program;
 
+import java.util.List;
+import java.util.Optional;
 import org.skylarkmast.core.config.Configuration;
 import org.skylarkmast.core.journal.AppendOutcome;
 import org.skylarkmast.core.journal.ReplayedPartition;
 import org.skylarkmast.core.key.ProgramKey;
 
-import java.util.List;
-import java.util.Optional;
-
 /**
  * Decides about all programs of one partition, for the node that owns it.
  *
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionState.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionState.java
@@ -1,14 +1,13 @@
 package org.skylarkmast.core.program;
 
-import org.skylarkmast.core.journal.ReplayedPartition;
-import org.skylarkmast.core.json.JsonUtil;
-import org.skylarkmast.core.key.ProgramKey;
-
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.skylarkmast.core.journal.ReplayedPartition;
+import org.skylarkmast.core.json.JsonUtil;
+import org.skylarkmast.core.key.ProgramKey;
 
 /** The programs of one partition and how journal records change them. Not thread-safe. */
 final class PartitionState {
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramAction.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramAction.java
@@ -1,10 +1,9 @@
 package org.skylarkmast.core.program;
 
+import java.util.List;
 import org.skylarkmast.core.key.ProgramKey;
 import org.skylarkmast.core.scheduling.CallSubmission;
 
-import java.util.List;
-
 /** What a partition's programs want done. */
 public sealed interface ProgramAction {
 
@@ -12,7 +11,7 @@
     record Append(long ticket, JournalRecord record) implements ProgramAction {}
 
     /** Gives a call to the scheduler. */
-    record Submit(CallSubmission call) implements ProgramAction {}
+    record Submit(CallSubmission call, String traceParent) implements ProgramAction {}
 
     /** Takes a call back from the scheduler and cuts it if it is under way. */
     record Withdraw(long callId) implements ProgramAction {}
@@ -31,7 +30,8 @@
             String model,
             List<Message> messages,
             int maxTokens,
-            long deadlineNs)
+            long deadlineNs,
+            String traceParent)
             implements ProgramAction {
         public SendModel {
             messages = List.copyOf(messages);
@@ -47,7 +47,8 @@
             long epoch,
             Operation.ServiceCall call,
             boolean repeatable,
-            long deadlineNs)
+            long deadlineNs,
+            String traceParent)
             implements ProgramAction {}
 
     /** Asks a target by key whether a call ran; answered by {@link ProgramEvent.LookedUp}. */
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramEnding.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramEnding.java
@@ -1,12 +1,11 @@
 package org.skylarkmast.core.program;
 
+import java.util.List;
+import java.util.Optional;
 import org.skylarkmast.core.config.ProgramTemplate;
 import org.skylarkmast.core.journal.AppendOutcome;
 import org.skylarkmast.core.key.ProgramKey;
 
-import java.util.List;
-import java.util.Optional;
-
 /** Ends programs: when their callers ask, and when they have been idle for too long. */
 final class ProgramEnding {
     private static final long BUSY_RETRY_MS = 500;
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramTree.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramTree.java
@@ -1,11 +1,10 @@
 package org.skylarkmast.core.program;
 
-import org.skylarkmast.core.key.ProgramKey;
-
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.skylarkmast.core.key.ProgramKey;
 
 /** A root program with its sub-agents, which share its budget and limits. */
 final class ProgramTree {
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/RequestChecks.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/RequestChecks.java
@@ -1,15 +1,14 @@
 package org.skylarkmast.core.program;
 
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
 import org.skylarkmast.core.config.Budget;
 import org.skylarkmast.core.config.Configuration;
 import org.skylarkmast.core.config.Model;
 import org.skylarkmast.core.config.ProgramTemplate;
 import org.skylarkmast.core.config.Target;
 
-import java.nio.charset.StandardCharsets;
-import java.util.List;
-import java.util.Optional;
-
 /** Checks of a request against the objects in force. Pure functions. */
 final class RequestChecks {
 
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/RequestIntake.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/RequestIntake.java
@@ -1,8 +1,7 @@
 package org.skylarkmast.core.program;
 
-import org.skylarkmast.core.config.ProgramTemplate;
-
 import java.util.Optional;
+import org.skylarkmast.core.config.ProgramTemplate;
 
 /** Takes callers' requests: duplicates are joined or answered again, others get in line. */
 final class RequestIntake {
--- a/skylarkmast-core/src/test/java/org/skylarkmast/core/program/PartitionFixture.java
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/program/PartitionFixture.java
@@ -1,5 +1,8 @@
 package org.skylarkmast.core.program;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import org.skylarkmast.core.config.Budget;
 import org.skylarkmast.core.config.Configuration;
 import org.skylarkmast.core.config.Model;
@@ -12,10 +15,6 @@
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.key.ProgramKey;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-
 /** A partition's machine with a journal and callers in memory; events are fed by hand. */
 final class PartitionFixture {
     static final ProgramKey JOB = new ProgramKey("cycle", "job-1");
@@ -77,7 +76,7 @@
     long ask(ProgramKey program, String key, Operation operation) {
         long waiter = nextWaiter++;
         CallerRequest request =
-                new CallerRequest(program, "intake", key, digest(operation), operation);
+                new CallerRequest(program, "intake", key, digest(operation), "", operation);
         feed(new ProgramEvent.Requested(waiter, request));
         return waiter;
     }
--- a/skylarkmast-core/src/test/java/org/skylarkmast/core/program/PartitionMachineTest.java
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/program/PartitionMachineTest.java
@@ -1,9 +1,9 @@
 package org.skylarkmast.core.program;
 
 import static com.google.common.truth.Truth.assertThat;
-
 import static org.skylarkmast.core.program.PartitionFixture.JOB;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -14,8 +14,6 @@
 import org.skylarkmast.core.scheduling.CallFailure;
 import org.skylarkmast.core.scheduling.RefusalReason;
 
-import java.util.List;
-
 class PartitionMachineTest {
     private static final ProgramKey CHILD = new ProgramKey("cycle", "job-1/parts");
 
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/Main.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/Main.java
@@ -2,7 +2,12 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
-
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.daemon.node.Daemon;
 import org.skylarkmast.daemon.settings.Settings;
@@ -10,16 +15,10 @@
 import org.skylarkmast.daemon.settings.SettingsProblem;
 import org.skylarkmast.daemon.settings.SettingsReader;
 import org.skylarkmast.daemon.store.EtcdStore;
+import org.skylarkmast.daemon.telemetry.LogLevels;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.util.Map;
-import java.util.concurrent.CountDownLatch;
-
 /** Entry point of the daemon. */
 public final class Main {
     private static final Logger LOG = LoggerFactory.getLogger(Main.class);
@@ -66,6 +65,7 @@
             System.out.println("settings are usable");
             return;
         }
+        LogLevels.set(settings.telemetry().logLevel());
         Settings.Store store = settings.store();
         Daemon daemon = start(settings, new EtcdStore(store.endpoints(), store.callTimeoutMs()));
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::drain, "drain"));
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/AnswerStatus.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/AnswerStatus.java
@@ -1,10 +1,9 @@
 package org.skylarkmast.daemon.dispatch;
 
+import java.util.Optional;
 import org.skylarkmast.core.scheduling.CallFailure;
 import org.skylarkmast.http.HttpOutcome;
 
-import java.util.Optional;
-
 /** What a runner's HTTP status means for a call. */
 final class AnswerStatus {
     private static final int CONFLICT = 409;
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/CallDispatch.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/CallDispatch.java
@@ -1,5 +1,15 @@
 package org.skylarkmast.daemon.dispatch;
 
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.skylarkmast.core.config.Configuration;
 import org.skylarkmast.core.config.Target;
 import org.skylarkmast.core.key.ProgramKey;
@@ -13,19 +23,11 @@
 import org.skylarkmast.core.scheduling.SchedulingEvent;
 import org.skylarkmast.daemon.partition.PartitionCalls;
 import org.skylarkmast.daemon.partition.PartitionRuntime;
+import org.skylarkmast.daemon.telemetry.DaemonMetrics;
+import org.skylarkmast.daemon.telemetry.Tracing;
 import org.skylarkmast.http.AbortSignal;
 import org.skylarkmast.http.HttpClient;
 
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executor;
-import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.BooleanSupplier;
-import java.util.function.Consumer;
-import java.util.function.LongSupplier;
-
 /**
  * Runs the scheduler on its event loop and sends what it dispatches.
  *
@@ -42,6 +44,8 @@
     private final ServiceSender services;
     private final PartitionPost partitions;
     private final Consumer<SchedulingAction> cacheOrders;
+    private final CallSpans spans;
+    private final DaemonMetrics metrics;
     private final AtomicReference<Configuration> configuration =
             new AtomicReference<>(Configuration.EMPTY);
     private final Map<Long, Attempt> underWay = new ConcurrentHashMap<>();
@@ -67,7 +71,9 @@
             LongSupplier clockNs,
             HttpClient client,
             PartitionPost partitions,
-            Consumer<SchedulingAction> cacheOrders) {
+            Consumer<SchedulingAction> cacheOrders,
+            Tracing tracing,
+            DaemonMetrics metrics) {
         this.scheduler = scheduler;
         this.loop = loop;
         this.attempts = attempts;
@@ -75,6 +81,8 @@
         this.clockNs = clockNs;
         this.partitions = partitions;
         this.cacheOrders = cacheOrders;
+        this.spans = new CallSpans(tracing);
+        this.metrics = metrics;
         this.models = new ModelSender(client, this, clockNs);
         this.services = new ServiceSender(client, this, clockNs);
     }
@@ -92,6 +100,9 @@
 
     @Override
     public void toScheduler(SchedulingEvent event) {
+        if (event instanceof SchedulingEvent.Succeeded done) {
+            metrics.prefill(done.cachedTokens(), done.promptTokens() - done.cachedTokens());
+        }
         loop.execute(() -> scheduler.on(event, clockNs.getAsLong()).forEach(this::carryOut));
     }
 
@@ -101,12 +112,14 @@
     }
 
     @Override
-    public void submit(CallSubmission call) {
+    public void submit(CallSubmission call, String traceParent) {
+        spans.queued(call.callId(), call.program(), traceParent);
         toScheduler(new SchedulingEvent.Submitted(call));
     }
 
     @Override
     public void withdraw(long callId) {
+        spans.left(callId);
         toScheduler(new SchedulingEvent.Withdrawn(callId));
         cut(callId);
     }
@@ -127,7 +140,9 @@
                 () -> directory.heldHere(sender.partition()),
                 send.callId(),
                 send.runner(),
-                (runner, abort) -> models.send(send, runner.runner().address(), "", abort));
+                send.traceParent(),
+                (runner, trace, abort) ->
+                        models.send(send, runner.runner().address(), trace, abort));
     }
 
     @Override
@@ -136,12 +151,13 @@
                 () -> maySend(sender.partition(), send.repeatable()),
                 send.callId(),
                 send.runner(),
-                (runner, abort) ->
+                send.traceParent(),
+                (runner, trace, abort) ->
                         services.send(
                                 send,
                                 runner.runner().address(),
                                 runner.target().checksEpoch(),
-                                "",
+                                trace,
                                 abort));
     }
 
@@ -165,10 +181,15 @@
     /** Sends one attempt. */
     @FunctionalInterface
     private interface Send {
-        void to(Located runner, AbortSignal abort);
+        void to(Located runner, String traceParent, AbortSignal abort);
     }
 
-    private void run(BooleanSupplier maySend, long callId, String runnerName, Send send) {
+    private void run(
+            BooleanSupplier maySend,
+            long callId,
+            String runnerName,
+            String traceParent,
+            Send send) {
         attempts.execute(
                 () -> {
                     Optional<Located> runner = locate(runnerName);
@@ -181,7 +202,11 @@
                     Attempt attempt = new Attempt(runnerName, abort);
                     underWay.put(callId, attempt);
                     try {
-                        send.to(runner.get(), abort);
+                        spans.sending(
+                                callId,
+                                runnerName,
+                                traceParent,
+                                trace -> send.to(runner.get(), trace, abort));
                     } finally {
                         underWay.remove(callId, attempt);
                     }
@@ -190,19 +215,29 @@
 
     private void carryOut(SchedulingAction action) {
         switch (action) {
-            case SchedulingAction.Dispatch d ->
-                    toPartition(
-                            d.callId(),
-                            new ProgramEvent.Dispatched(d.callId(), d.runner(), d.attempt()));
-            case SchedulingAction.Refuse r ->
-                    toPartition(
-                            r.callId(),
-                            new ProgramEvent.CallRefused(r.callId(), r.reason(), r.retryAfterMs()));
-            case SchedulingAction.GiveUp g ->
-                    toPartition(
-                            g.callId(),
-                            new ProgramEvent.CallGivenUp(
-                                    g.callId(), g.lastFailure(), g.retryAfterMs()));
+            case SchedulingAction.Dispatch d -> {
+                spans.left(d.callId());
+                if (d.attempt() > 1) {
+                    metrics.retried();
+                }
+                toPartition(
+                        d.callId(),
+                        new ProgramEvent.Dispatched(d.callId(), d.runner(), d.attempt()));
+            }
+            case SchedulingAction.Refuse r -> {
+                spans.left(r.callId());
+                metrics.refused(r.reason().name().toLowerCase(Locale.ROOT));
+                toPartition(
+                        r.callId(),
+                        new ProgramEvent.CallRefused(r.callId(), r.reason(), r.retryAfterMs()));
+            }
+            case SchedulingAction.GiveUp g -> {
+                spans.left(g.callId());
+                toPartition(
+                        g.callId(),
+                        new ProgramEvent.CallGivenUp(
+                                g.callId(), g.lastFailure(), g.retryAfterMs()));
+            }
             case SchedulingAction.CancelAttempt c -> cut(c.callId());
             case SchedulingAction.ReleaseCache r -> cacheOrders.accept(r);
             case SchedulingAction.MoveCache m -> cacheOrders.accept(m);
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/EngineStream.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/EngineStream.java
@@ -1,12 +1,10 @@
 package org.skylarkmast.daemon.dispatch;
 
+import java.util.function.BiConsumer;
 import org.skylarkmast.core.json.JsonUtil;
-
 import tools.jackson.core.JacksonException;
 import tools.jackson.databind.JsonNode;
 
-import java.util.function.BiConsumer;
-
 /**
  * Reads an engine's answer from its event stream, over several connections if it is resumed.
  *
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/ModelSender.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/ModelSender.java
@@ -1,5 +1,12 @@
 package org.skylarkmast.daemon.dispatch;
 
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.program.Message;
 import org.skylarkmast.core.program.ProgramAction;
@@ -11,14 +18,6 @@
 import org.skylarkmast.http.HttpOutcome;
 import org.skylarkmast.http.HttpSend;
 
-import java.net.URLEncoder;
-import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
-
 /** Sends model calls to engines and follows their streams; blocking, for virtual threads. */
 final class ModelSender {
 
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/ServiceSender.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/ServiceSender.java
@@ -1,5 +1,12 @@
 package org.skylarkmast.daemon.dispatch;
 
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.skylarkmast.core.config.Target;
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.key.ProgramKey;
@@ -11,17 +18,8 @@
 import org.skylarkmast.http.HttpClient;
 import org.skylarkmast.http.HttpOutcome;
 import org.skylarkmast.http.HttpSend;
-
 import tools.jackson.databind.JsonNode;
 
-import java.net.URLEncoder;
-import java.nio.charset.StandardCharsets;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
-
 /** Sends calls to plain services; blocking, for virtual threads. */
 final class ServiceSender {
     private static final long LOOK_UP_TIMEOUT_MS = 3_000;
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/TargetHeaders.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/TargetHeaders.java
@@ -1,9 +1,8 @@
 package org.skylarkmast.daemon.dispatch;
 
-import org.skylarkmast.core.key.ProgramKey;
-
 import java.util.HashMap;
 import java.util.Map;
+import org.skylarkmast.core.key.ProgramKey;
 
 /** The headers every call to a runner carries. */
 final class TargetHeaders {
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/AnswerMerger.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/AnswerMerger.java
@@ -1,12 +1,11 @@
 package org.skylarkmast.daemon.entry;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.skylarkmast.core.program.CallerEvent;
 import org.skylarkmast.core.program.Execution;
 import org.skylarkmast.core.program.Refusal;
 
-import java.util.ArrayList;
-import java.util.List;
-
 /**
  * Makes one answer of the events of several owners.
  *
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/CallersHandler.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/CallersHandler.java
@@ -1,17 +1,5 @@
 package org.skylarkmast.daemon.entry;
 
-import org.skylarkmast.core.config.Configuration;
-import org.skylarkmast.core.config.Workspace;
-import org.skylarkmast.core.json.JsonUtil;
-import org.skylarkmast.core.key.ProgramKey;
-import org.skylarkmast.core.program.CallerEvent;
-import org.skylarkmast.core.program.CallerRequest;
-import org.skylarkmast.core.program.Operation;
-import org.skylarkmast.core.program.Refusal;
-import org.skylarkmast.http.HttpCall;
-import org.skylarkmast.http.HttpHandler;
-import org.skylarkmast.http.HttpReply;
-
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
@@ -24,6 +12,18 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.skylarkmast.core.config.Configuration;
+import org.skylarkmast.core.config.Workspace;
+import org.skylarkmast.core.json.JsonUtil;
+import org.skylarkmast.core.key.ProgramKey;
+import org.skylarkmast.core.program.CallerEvent;
+import org.skylarkmast.core.program.CallerRequest;
+import org.skylarkmast.core.program.Operation;
+import org.skylarkmast.core.program.Refusal;
+import org.skylarkmast.daemon.telemetry.TraceParent;
+import org.skylarkmast.http.HttpCall;
+import org.skylarkmast.http.HttpHandler;
+import org.skylarkmast.http.HttpReply;
 
 /** Serves callers: chat completions, calls to plain services, reading and ending programs. */
 public final class CallersHandler implements HttpHandler {
@@ -33,6 +33,7 @@
 
     private final Supplier<Configuration> configuration;
     private final RequestRouter router;
+    private final EntryHop hop;
     private final Executor requests;
     private final Supplier<String> newKey;
     private final Function<ProgramKey, String> ownerName;
@@ -45,11 +46,13 @@
     public CallersHandler(
             Supplier<Configuration> configuration,
             RequestRouter router,
+            EntryHop hop,
             Executor requests,
             Supplier<String> newKey,
             Function<ProgramKey, String> ownerName) {
         this.configuration = configuration;
         this.router = router;
+        this.hop = hop;
         this.requests = requests;
         this.newKey = newKey;
         this.ownerName = ownerName;
@@ -128,19 +131,22 @@
                         call.header("skylarkmast-template").orElse(""),
                         call.header("idempotency-key").orElseGet(newKey),
                         Digests.sha256Hex(JsonUtil.toBytes(operation)),
+                        call.header(TraceParent.HEADER).orElse(""),
                         operation);
-        String traceParent = call.header("traceparent").orElse("");
         BlockingQueue<CallerEvent> events = new LinkedBlockingQueue<>();
         AtomicBoolean listening = new AtomicBoolean(true);
         requests.execute(
                 () ->
-                        router.serve(
+                        hop.run(
                                 request,
-                                traceParent,
-                                event -> {
-                                    events.add(event);
-                                    return listening.get();
-                                }));
+                                (under, seen) ->
+                                        router.serve(
+                                                under,
+                                                event -> {
+                                                    seen.accept(event);
+                                                    events.add(event);
+                                                    return listening.get();
+                                                })));
         try {
             CallerEvent first = events.take();
             if (stream && !(first instanceof CallerEvent.Refused)) {
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/ChatCodec.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/ChatCodec.java
@@ -1,19 +1,17 @@
 package org.skylarkmast.daemon.entry;
 
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.program.Message;
 import org.skylarkmast.core.program.Operation;
 import org.skylarkmast.core.program.TurnSummary;
-
 import tools.jackson.core.JacksonException;
 import tools.jackson.databind.JsonNode;
 
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-
 /** Reads and writes OpenAI-style chat completions. */
 final class ChatCodec {
     private static final Set<String> ROLES = Set.of("system", "user", "assistant", "tool");
--- /dev/null
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/EntryHop.java
@@ -0,0 +1,83 @@
+package org.skylarkmast.daemon.entry;
+
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import java.util.Locale;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.skylarkmast.core.program.CallerEvent;
+import org.skylarkmast.core.program.CallerRequest;
+import org.skylarkmast.daemon.telemetry.DaemonMetrics;
+import org.skylarkmast.daemon.telemetry.TraceParent;
+import org.skylarkmast.daemon.telemetry.Tracing;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The span, the metrics and the log line of a request at its entry host; thread-safe. */
+public final class EntryHop {
+    private static final Logger LOG = LoggerFactory.getLogger(EntryHop.class);
+
+    private final Tracing tracing;
+    private final DaemonMetrics metrics;
+    private final LongSupplier clockNs;
+
+    /** Measures by {@code clockNs}, a monotonic clock. */
+    public EntryHop(Tracing tracing, DaemonMetrics metrics, LongSupplier clockNs) {
+        this.tracing = tracing;
+        this.metrics = metrics;
+        this.clockNs = clockNs;
+    }
+
+    /**
+     * Runs a request inside its span.
+     *
+     * @param serve takes the request under that span, and what to tell of each event
+     */
+    public void run(CallerRequest request, BiConsumer<CallerRequest, Consumer<CallerEvent>> serve) {
+        Span span =
+                tracing.start("entry", SpanKind.SERVER, TraceParent.parse(request.traceParent()));
+        span.setAttribute("program", request.program().toString());
+        span.setAttribute("request", request.idempotencyKey());
+        long startNs = clockNs.getAsLong();
+        String[] outcome = {"left"};
+        boolean[] begun = {false};
+        try {
+            serve.accept(
+                    request.under(TraceParent.format(span.getSpanContext())),
+                    event -> {
+                        if (event instanceof CallerEvent.Token && !begun[0]) {
+                            begun[0] = true;
+                            metrics.firstToken(clockNs.getAsLong() - startNs);
+                        }
+                        if (event.isFinal()) {
+                            outcome[0] = outcomeOf(event);
+                        }
+                    });
+        } finally {
+            long tookNs = clockNs.getAsLong() - startNs;
+            metrics.callEnded(outcome[0], tookNs);
+            span.setAttribute("outcome", outcome[0]);
+            span.end();
+            LOG.atDebug()
+                    .addKeyValue("event", "request_ended")
+                    .addKeyValue("program", request.program())
+                    .addKeyValue("request", request.idempotencyKey())
+                    .addKeyValue("outcome", outcome[0])
+                    .addKeyValue("tookMs", tookNs / 1_000_000)
+                    .log();
+        }
+    }
+
+    private static String outcomeOf(CallerEvent event) {
+        return switch (event) {
+            case CallerEvent.Refused refused ->
+                    refused.refusal().kind().name().toLowerCase(Locale.ROOT);
+            case CallerEvent.ModelAnswered ignored -> "answered";
+            case CallerEvent.ServiceAnswered ignored -> "answered";
+            case CallerEvent.Ended ignored -> "answered";
+            case CallerEvent.ProgramRead ignored -> "answered";
+            case CallerEvent.Token ignored -> throw new IllegalStateException("not final");
+        };
+    }
+}
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/OwnerLink.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/OwnerLink.java
@@ -1,11 +1,10 @@
 package org.skylarkmast.daemon.entry;
 
+import java.util.function.Consumer;
 import org.skylarkmast.core.ownership.OwnerLocation;
 import org.skylarkmast.core.program.CallerEvent;
 import org.skylarkmast.core.program.CallerRequest;
 
-import java.util.function.Consumer;
-
 /** Passes requests to the owner of their program, here or on another node. */
 public interface OwnerLink {
 
@@ -20,7 +19,6 @@
     Runnable call(
             OwnerLocation owner,
             CallerRequest request,
-            String traceParent,
             Consumer<CallerEvent> events,
             Consumer<String> gone);
 }
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/Problems.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/Problems.java
@@ -1,14 +1,13 @@
 package org.skylarkmast.daemon.entry;
 
-import org.skylarkmast.core.json.JsonUtil;
-import org.skylarkmast.core.program.Execution;
-import org.skylarkmast.core.program.Refusal;
-import org.skylarkmast.http.HttpReply;
-
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import org.skylarkmast.core.json.JsonUtil;
+import org.skylarkmast.core.program.Execution;
+import org.skylarkmast.core.program.Refusal;
+import org.skylarkmast.http.HttpReply;
 
 /** Refusals as RFC 9457 problem details. */
 final class Problems {
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/RequestHeaders.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/RequestHeaders.java
@@ -1,9 +1,8 @@
 package org.skylarkmast.daemon.entry;
 
-import org.skylarkmast.http.HttpCall;
-
 import java.util.Optional;
 import java.util.regex.Pattern;
+import org.skylarkmast.http.HttpCall;
 
 /** Checks of the headers that name a program and a request. */
 final class RequestHeaders {
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/RequestRouter.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/RequestRouter.java
@@ -1,18 +1,17 @@
 package org.skylarkmast.daemon.entry;
 
-import org.skylarkmast.core.ownership.OwnerLocation;
-import org.skylarkmast.core.ownership.PartitionDirectory;
-import org.skylarkmast.core.program.CallerEvent;
-import org.skylarkmast.core.program.CallerRequest;
-import org.skylarkmast.core.program.Execution;
-import org.skylarkmast.core.program.Refusal;
-
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import org.skylarkmast.core.ownership.OwnerLocation;
+import org.skylarkmast.core.ownership.PartitionDirectory;
+import org.skylarkmast.core.program.CallerEvent;
+import org.skylarkmast.core.program.CallerRequest;
+import org.skylarkmast.core.program.Execution;
+import org.skylarkmast.core.program.Refusal;
 
 /**
  * Brings a request to the owner of its program and its events back, across changes of owner.
@@ -93,7 +92,7 @@
     private record Step(CallerEvent event, String gone) {}
 
     /** Serves {@code request}; returns once its final event was taken or the caller left. */
-    public void serve(CallerRequest request, String traceParent, EventSink sink) {
+    public void serve(CallerRequest request, EventSink sink) {
         int partition = request.program().partition();
         AnswerMerger merger = new AnswerMerger(sink);
         boolean mayHaveRun = false;
@@ -103,7 +102,7 @@
             Optional<OwnerLocation> owner = directory.ownerOf(partition);
             if (owner.isPresent()) {
                 long passedNs = clockNs.getAsLong();
-                Pass pass = pass(owner.get(), request, traceParent, merger);
+                Pass pass = pass(owner.get(), request, merger);
                 if (pass == Pass.ENDED || pass == Pass.LEFT) {
                     return;
                 }
@@ -127,14 +126,12 @@
                                 RETRY_AFTER_MS)));
     }
 
-    private Pass pass(
-            OwnerLocation owner, CallerRequest request, String traceParent, AnswerMerger merger) {
+    private Pass pass(OwnerLocation owner, CallerRequest request, AnswerMerger merger) {
         BlockingQueue<Step> steps = new LinkedBlockingQueue<>();
         Runnable leave =
                 link.call(
                         owner,
                         request,
-                        traceParent,
                         event -> steps.add(new Step(event, null)),
                         reason -> steps.add(new Step(null, reason)));
         try {
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/AdminSources.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/AdminSources.java
@@ -1,5 +1,14 @@
 package org.skylarkmast.daemon.node;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.skylarkmast.core.config.Configuration;
 import org.skylarkmast.core.config.Target;
 import org.skylarkmast.core.key.ProgramKey;
@@ -17,16 +26,6 @@
 import org.skylarkmast.daemon.partition.PartitionRegistry;
 import org.skylarkmast.daemon.settings.Settings;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
-import java.util.stream.Collectors;
-
 /** What the administration port tells of this node; thread-safe, calls block briefly. */
 final class AdminSources implements StatusSource, ProgramSource, HistorySource {
 
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
@@ -3,7 +3,17 @@
 import io.grpc.Server;
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.skylarkmast.core.config.Configuration;
 import org.skylarkmast.core.ownership.OwnerLocation;
 import org.skylarkmast.core.program.ProgramEvent;
@@ -19,6 +29,7 @@
 import org.skylarkmast.daemon.configuration.ConfigurationReader;
 import org.skylarkmast.daemon.dispatch.CallDispatch;
 import org.skylarkmast.daemon.entry.CallersHandler;
+import org.skylarkmast.daemon.entry.EntryHop;
 import org.skylarkmast.daemon.entry.RequestRouter;
 import org.skylarkmast.daemon.partition.PartitionRegistry;
 import org.skylarkmast.daemon.partition.WaiterTable;
@@ -27,24 +38,15 @@
 import org.skylarkmast.daemon.peer.PeerChannels;
 import org.skylarkmast.daemon.peer.PeerService;
 import org.skylarkmast.daemon.settings.Settings;
+import org.skylarkmast.daemon.telemetry.DaemonMetrics;
+import org.skylarkmast.daemon.telemetry.MeteredStore;
+import org.skylarkmast.daemon.telemetry.Tracing;
 import org.skylarkmast.http.HttpClient;
 import org.skylarkmast.http.HttpServer;
 import org.skylarkmast.rpc.peer.PeerProto.HeartbeatReply;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.nio.file.Path;
-import java.util.Optional;
-import java.util.Random;
-import java.util.UUID;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicReference;
-
 /** One daemon: all slices, wired. */
 public final class Daemon implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Daemon.class);
@@ -55,6 +57,9 @@
     private static final int MAX_IDLE_CONNECTIONS = 64;
 
     private final Settings settings;
+    private final PrometheusRegistry metricsRegistry = new PrometheusRegistry();
+    private final DaemonMetrics metrics = new DaemonMetrics(metricsRegistry);
+    private final Tracing tracing;
     private final KeyValueStore store;
     private final Loops loops;
     private final PeerChannels channels = new PeerChannels();
@@ -79,7 +84,12 @@
      */
     public Daemon(Settings settings, KeyValueStore store) throws IOException {
         this.settings = settings;
-        this.store = store;
+        this.store = new MeteredStore(store, metrics);
+        this.tracing =
+                new Tracing(
+                        settings.node().name(),
+                        settings.telemetry().traceFile().map(Path::of),
+                        settings.telemetry().otlpEndpoint());
         this.loops = new Loops(Daemon::stopOnBrokenInvariant);
         this.peerServer = startPeerServer();
         HostPort peers = HostPort.parse(settings.addresses().peers());
@@ -96,7 +106,9 @@
                         System::nanoTime,
                         client,
                         (callId, event) -> registry.get().post(callId, event),
-                        order -> {});
+                        order -> {},
+                        tracing,
+                        metrics);
         registry.set(
                 new PartitionRegistry(
                         loops.partitionExecutors(),
@@ -108,6 +120,7 @@
         this.configuration = startConfiguration();
         owned.ownership.start(registry.get());
         startTicks();
+        observeGauges();
         this.callersServer = startCallersServer();
         this.administrationServer = startAdministrationServer();
     }
@@ -172,6 +185,7 @@
         loops.close();
         channels.close();
         client.close();
+        tracing.close();
         store.close();
     }
 
@@ -216,6 +230,15 @@
         return keeper.get();
     }
 
+    private void observeGauges() {
+        metrics.observe(
+                DaemonMetrics.Gauge.PARTITIONS_OWNED,
+                () -> registry.get().ownedPartitions().size());
+        metrics.observe(
+                DaemonMetrics.Gauge.CONFIGURATION_REVISION,
+                () -> configuration.current().revision());
+    }
+
     private void startTicks() {
         loops.every(SCHEDULER_TICK_MS, () -> dispatch.toScheduler(new SchedulingEvent.Tick()));
         loops.every(PARTITION_TICK_MS, () -> registry.get().postAll(new ProgramEvent.Tick()));
@@ -237,7 +260,7 @@
         RequestRouter router =
                 new RequestRouter(
                         owned.ownership,
-                        new OwnerCalls(settings.node().name(), registry.get(), channels),
+                        new OwnerCalls(settings.node().name(), registry.get(), channels, tracing),
                         System::nanoTime,
                         ThreadLocalRandom.current()::nextDouble,
                         Thread::sleep);
@@ -245,6 +268,7 @@
                 new CallersHandler(
                         configuration::current,
                         router,
+                        new EntryHop(tracing, metrics, System::nanoTime),
                         loops.blocking,
                         () -> UUID.randomUUID().toString(),
                         program ->
@@ -277,7 +301,7 @@
                 new AdminHandler(
                         settings.administration().operatorKeySha256(),
                         this::notReadyReason,
-                        new PrometheusRegistry(),
+                        metricsRegistry,
                         new ObjectsResource(
                                 configuration::current,
                                 publisher::publish,
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Loops.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Loops.java
@@ -1,7 +1,5 @@
 package org.skylarkmast.daemon.node;
 
-import org.skylarkmast.daemon.loop.ThreadEventLoop;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executor;
@@ -11,6 +9,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.skylarkmast.daemon.loop.ThreadEventLoop;
 
 /** The threads of a daemon: event loops that own state, and threads for calls that block. */
 final class Loops implements AutoCloseable {
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/OwnershipParts.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/OwnershipParts.java
@@ -1,5 +1,6 @@
 package org.skylarkmast.daemon.node;
 
+import java.util.UUID;
 import org.skylarkmast.core.key.ProgramKey;
 import org.skylarkmast.core.ownership.OwnershipMachine;
 import org.skylarkmast.core.ownership.OwnershipSettings;
@@ -16,8 +17,6 @@
 import org.skylarkmast.daemon.peer.PeerChannels;
 import org.skylarkmast.daemon.settings.Settings;
 
-import java.util.UUID;
-
 /** Ownership, journal and copies of one node. */
 final class OwnershipParts {
 
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/ownership/OwnershipService.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/ownership/OwnershipService.java
@@ -1,5 +1,14 @@
 package org.skylarkmast.daemon.ownership;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicReferenceArray;
+import java.util.function.LongSupplier;
 import org.skylarkmast.core.journal.JournalState;
 import org.skylarkmast.core.key.ProgramKey;
 import org.skylarkmast.core.ownership.OwnerLocation;
@@ -16,16 +25,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.Executor;
-import java.util.concurrent.atomic.AtomicReferenceArray;
-import java.util.function.LongSupplier;
-
 /**
  * Carries out the ownership decisions and publishes the directory of owners.
  *
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionCalls.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionCalls.java
@@ -7,8 +7,12 @@
 /** Takes calls that partitions want run. */
 public interface PartitionCalls {
 
-    /** Queues a call. */
-    void submit(CallSubmission call);
+    /**
+     * Queues a call.
+     *
+     * @param traceParent trace context of the request, or empty
+     */
+    void submit(CallSubmission call, String traceParent);
 
     /** Takes a call back and cuts it if it is under way. */
     void withdraw(long callId);
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRegistry.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRegistry.java
@@ -1,5 +1,15 @@
 package org.skylarkmast.daemon.partition;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.skylarkmast.core.config.Configuration;
 import org.skylarkmast.core.journal.Journal;
 import org.skylarkmast.core.journal.ReplayedPartition;
@@ -13,17 +23,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executor;
-import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Consumer;
-import java.util.function.LongSupplier;
-
 /** The partitions this node owns; thread-safe. */
 public final class PartitionRegistry implements OwnershipListener {
     private static final Logger LOG = LoggerFactory.getLogger(PartitionRegistry.class);
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRuntime.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRuntime.java
@@ -1,5 +1,10 @@
 package org.skylarkmast.daemon.partition;
 
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
 import org.skylarkmast.core.journal.AppendOutcome;
 import org.skylarkmast.core.journal.Journal;
 import org.skylarkmast.core.json.JsonUtil;
@@ -7,12 +12,6 @@
 import org.skylarkmast.core.program.ProgramAction;
 import org.skylarkmast.core.program.ProgramEvent;
 
-import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
-import java.util.function.Function;
-import java.util.function.LongSupplier;
-
 /**
  * Runs one partition's state machine on its event loop and carries its actions out.
  *
@@ -96,7 +95,7 @@
                             partition,
                             JsonUtil.toBytes(append.record()),
                             outcome -> loop.execute(() -> appended(append.ticket(), outcome)));
-            case ProgramAction.Submit submit -> calls.submit(submit.call());
+            case ProgramAction.Submit submit -> calls.submit(submit.call(), submit.traceParent());
             case ProgramAction.Withdraw withdraw -> calls.withdraw(withdraw.callId());
             case ProgramAction.SendModel send -> calls.sendModel(this, send);
             case ProgramAction.SendService send -> calls.sendService(this, send);
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/WaiterTable.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/WaiterTable.java
@@ -1,11 +1,10 @@
 package org.skylarkmast.daemon.partition;
 
-import org.skylarkmast.core.program.CallerEvent;
-
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import org.skylarkmast.core.program.CallerEvent;
 
 /** Who waits for which request on this node; thread-safe. */
 public final class WaiterTable {
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/ConfigurationExchange.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/ConfigurationExchange.java
@@ -1,18 +1,15 @@
 package org.skylarkmast.daemon.peer;
 
 import com.google.protobuf.ByteString;
-
 import io.grpc.StatusRuntimeException;
-
-import org.skylarkmast.core.ownership.SessionRecord;
-import org.skylarkmast.daemon.configuration.PeerConfigurationSource;
-import org.skylarkmast.rpc.peer.PeerProto.FetchConfigurationReply;
-import org.skylarkmast.rpc.peer.PeerProto.FetchConfigurationRequest;
-
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.skylarkmast.core.ownership.SessionRecord;
+import org.skylarkmast.daemon.configuration.PeerConfigurationSource;
+import org.skylarkmast.rpc.peer.PeerProto.FetchConfigurationReply;
+import org.skylarkmast.rpc.peer.PeerProto.FetchConfigurationRequest;
 
 /** Exchanges the configuration in force with peers; thread-safe, calls block. */
 public final class ConfigurationExchange implements PeerConfigurationSource {
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/CopyExchange.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/CopyExchange.java
@@ -1,9 +1,12 @@
 package org.skylarkmast.daemon.peer;
 
 import com.google.protobuf.ByteString;
-
 import io.grpc.StatusRuntimeException;
-
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Function;
 import org.skylarkmast.core.journal.CopiedRecord;
 import org.skylarkmast.core.journal.CopyMark;
 import org.skylarkmast.core.journal.PeerCopies;
@@ -12,12 +15,6 @@
 import org.skylarkmast.daemon.journal.CopyStore;
 import org.skylarkmast.rpc.peer.PeerProto;
 
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
-import java.util.function.Function;
-
 /**
  * Exchanges copies of journal records with peers while the key-value service takes none.
  *
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/KnownPeers.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/KnownPeers.java
@@ -1,12 +1,11 @@
 package org.skylarkmast.daemon.peer;
 
-import org.skylarkmast.core.ownership.SessionRecord;
-
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.skylarkmast.core.ownership.SessionRecord;
 
 /**
  * The other nodes, also while the key-value service is down and their sessions have lapsed.
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/PeerChannels.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/PeerChannels.java
@@ -2,12 +2,10 @@
 
 import io.grpc.ManagedChannel;
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
-
-import org.skylarkmast.rpc.peer.PeerGrpc;
-
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.skylarkmast.rpc.peer.PeerGrpc;
 
 /** One channel to each peer, opened on first use; thread-safe. */
 public final class PeerChannels implements AutoCloseable {
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/PeerService.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/peer/PeerService.java
@@ -1,10 +1,11 @@
 package org.skylarkmast.daemon.peer;
 
 import com.google.protobuf.ByteString;
-
 import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
-
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.program.CallerEvent;
 import org.skylarkmast.core.program.CallerRequest;
@@ -22,10 +23,6 @@
 import org.skylarkmast.rpc.peer.PeerProto.StoreCopiesReply;
 import org.skylarkmast.rpc.peer.PeerProto.StoreCopiesRequest;
 
-import java.util.Optional;
-import java.util.function.Function;
-import java.util.function.Supplier;
-
 /** Serves peers; the short exchanges are functions of the slices that they belong to. */
 public final class PeerService extends PeerGrpc.PeerImplBase {
     private final Supplier<PartitionRegistry> registry;
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/entry/RequestRouterTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/entry/RequestRouterTest.java
@@ -2,6 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -16,19 +24,10 @@
 import org.skylarkmast.core.program.Refusal;
 import org.skylarkmast.core.program.TurnSummary;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Consumer;
-import java.util.stream.Stream;
-
 class RequestRouterTest {
     private static final ProgramKey JOB = new ProgramKey("cycle", "job-1");
     private static final CallerRequest REQUEST =
-            new CallerRequest(JOB, "intake", "k1", "d", new Operation.ReadProgram());
+            new CallerRequest(JOB, "intake", "k1", "d", "", new Operation.ReadProgram());
 
     private static final long NS_PER_MS = 1_000_000;
 
@@ -92,11 +91,11 @@
         int[] left = {0};
         RequestRouter router =
                 router(
-                        (owner, request, trace, events, gone) -> {
+                        (owner, request, events, gone) -> {
                             events.accept(token(0, "a"));
                             return () -> left[0]++;
                         });
-        router.serve(REQUEST, "", event -> false);
+        router.serve(REQUEST, event -> false);
         assertThat(left[0]).isEqualTo(1);
     }
 
@@ -104,11 +103,11 @@
         Deque<List<Object>> replies = new ArrayDeque<>(owners);
         RequestRouter router =
                 router(
-                        (owner, request, trace, events, gone) -> {
+                        (owner, request, events, gone) -> {
                             replies.remove().forEach(reply -> tell(reply, events, gone));
                             return () -> {};
                         });
-        router.serve(REQUEST, "", event -> heard.add(event));
+        router.serve(REQUEST, event -> heard.add(event));
     }
 
     private RequestRouter router(OwnerLink link) {
--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
@@ -1,5 +1,19 @@
 package org.skylarkmast.http;
 
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
@@ -17,21 +31,6 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
 
-import java.io.BufferedReader;
-import java.io.IOException;
-import java.io.InputStream;
-import java.io.InputStreamReader;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.net.SocketTimeoutException;
-import java.nio.charset.StandardCharsets;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Locale;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ConcurrentLinkedDeque;
-
 /** A blocking HTTP/1.1 client that keeps idle connections for reuse; thread-safe. */
 public final class HttpClient implements AutoCloseable {
 
--- a/skylarkmast-rpc/src/main/java/org/skylarkmast/rpc/peer/PeerProto.java
+++ b/skylarkmast-rpc/src/main/java/org/skylarkmast/rpc/peer/PeerProto.java
@@ -40,18 +40,6 @@
      */
     com.google.protobuf.ByteString getRequest();
 
-    /**
-     * <code>string trace_parent = 2;</code>
-     * @return The traceParent.
-     */
-    java.lang.String getTraceParent();
-    /**
-     * <code>string trace_parent = 2;</code>
-     * @return The bytes for traceParent.
-     */
-    com.google.protobuf.ByteString
-        getTraceParentBytes();
-
     /**
      * <pre>
      * Forwards so far; a request is refused past a small bound.
@@ -85,7 +73,6 @@
     }
     private CallRequest() {
       request_ = com.google.protobuf.ByteString.EMPTY;
-      traceParent_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -121,45 +108,6 @@
       return request_;
     }
 
-    public static final int TRACE_PARENT_FIELD_NUMBER = 2;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object traceParent_ = "";
-    /**
-     * <code>string trace_parent = 2;</code>
-     * @return The traceParent.
-     */
-    @java.lang.Override
-    public java.lang.String getTraceParent() {
-      java.lang.Object ref = traceParent_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        traceParent_ = s;
-        return s;
-      }
-    }
-    /**
-     * <code>string trace_parent = 2;</code>
-     * @return The bytes for traceParent.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getTraceParentBytes() {
-      java.lang.Object ref = traceParent_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        traceParent_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-
     public static final int HOPS_FIELD_NUMBER = 3;
     private int hops_ = 0;
     /**
@@ -192,9 +140,6 @@
       if (!request_.isEmpty()) {
         output.writeBytes(1, request_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(traceParent_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, traceParent_);
-      }
       if (hops_ != 0) {
         output.writeInt32(3, hops_);
       }
@@ -211,9 +156,6 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBytesSize(1, request_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(traceParent_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, traceParent_);
-      }
       if (hops_ != 0) {
         size += com.google.protobuf.CodedOutputStream
           .computeInt32Size(3, hops_);
@@ -235,8 +177,6 @@
 
       if (!getRequest()
           .equals(other.getRequest())) return false;
-      if (!getTraceParent()
-          .equals(other.getTraceParent())) return false;
       if (getHops()
           != other.getHops()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -252,8 +192,6 @@
       hash = (19 * hash) + getDescriptor().hashCode();
       hash = (37 * hash) + REQUEST_FIELD_NUMBER;
       hash = (53 * hash) + getRequest().hashCode();
-      hash = (37 * hash) + TRACE_PARENT_FIELD_NUMBER;
-      hash = (53 * hash) + getTraceParent().hashCode();
       hash = (37 * hash) + HOPS_FIELD_NUMBER;
       hash = (53 * hash) + getHops();
       hash = (29 * hash) + getUnknownFields().hashCode();
@@ -388,7 +326,6 @@
         super.clear();
         bitField0_ = 0;
         request_ = com.google.protobuf.ByteString.EMPTY;
-        traceParent_ = "";
         hops_ = 0;
         return this;
       }
@@ -427,9 +364,6 @@
           result.request_ = request_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.traceParent_ = traceParent_;
-        }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
           result.hops_ = hops_;
         }
       }
@@ -449,11 +383,6 @@
         if (!other.getRequest().isEmpty()) {
           setRequest(other.getRequest());
         }
-        if (!other.getTraceParent().isEmpty()) {
-          traceParent_ = other.traceParent_;
-          bitField0_ |= 0x00000002;
-          onChanged();
-        }
         if (other.getHops() != 0) {
           setHops(other.getHops());
         }
@@ -488,14 +417,9 @@
                 bitField0_ |= 0x00000001;
                 break;
               } // case 10
-              case 18: {
-                traceParent_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000002;
-                break;
-              } // case 18
               case 24: {
                 hops_ = input.readInt32();
-                bitField0_ |= 0x00000004;
+                bitField0_ |= 0x00000002;
                 break;
               } // case 24
               default: {
@@ -559,78 +483,6 @@
         return this;
       }
 
-      private java.lang.Object traceParent_ = "";
-      /**
-       * <code>string trace_parent = 2;</code>
-       * @return The traceParent.
-       */
-      public java.lang.String getTraceParent() {
-        java.lang.Object ref = traceParent_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          traceParent_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
-      /**
-       * <code>string trace_parent = 2;</code>
-       * @return The bytes for traceParent.
-       */
-      public com.google.protobuf.ByteString
-          getTraceParentBytes() {
-        java.lang.Object ref = traceParent_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          traceParent_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
-      }
-      /**
-       * <code>string trace_parent = 2;</code>
-       * @param value The traceParent to set.
-       * @return This builder for chaining.
-       */
-      public Builder setTraceParent(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        traceParent_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string trace_parent = 2;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearTraceParent() {
-        traceParent_ = getDefaultInstance().getTraceParent();
-        bitField0_ = (bitField0_ & ~0x00000002);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string trace_parent = 2;</code>
-       * @param value The bytes for traceParent to set.
-       * @return This builder for chaining.
-       */
-      public Builder setTraceParentBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        traceParent_ = value;
-        bitField0_ |= 0x00000002;
-        onChanged();
-        return this;
-      }
-
       private int hops_ ;
       /**
        * <pre>
@@ -656,7 +508,7 @@
       public Builder setHops(int value) {
 
         hops_ = value;
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
@@ -669,7 +521,7 @@
        * @return This builder for chaining.
        */
       public Builder clearHops() {
-        bitField0_ = (bitField0_ & ~0x00000004);
+        bitField0_ = (bitField0_ & ~0x00000002);
         hops_ = 0;
         onChanged();
         return this;
@@ -10617,50 +10469,50 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\023skylarkmast.peer.v1\"B\n\013Cal" +
-      "lRequest\022\017\n\007request\030\001 \001(\014\022\024\n\014trace_paren" +
-      "t\030\002 \001(\t\022\014\n\004hops\030\003 \001(\005\"Y\n\tCallReply\022\017\n\005ev" +
-      "ent\030\001 \001(\014H\000\0222\n\tnot_owner\030\002 \001(\0132\035.skylark" +
-      "mast.peer.v1.NotOwnerH\000B\007\n\005reply\"8\n\010NotO" +
-      "wner\022\021\n\tpartition\030\001 \001(\005\022\031\n\021owner_incarna" +
-      "tion\030\002 \001(\t\"Z\n\nRunnerLoad\022\016\n\006runner\030\001 \001(\t" +
-      "\022\r\n\005calls\030\002 \001(\005\022\026\n\016prefill_tokens\030\003 \001(\003\022" +
-      "\025\n\rdecode_tokens\030\004 \001(\003\"\301\001\n\020HeartbeatRequ" +
-      "est\022\023\n\013incarnation\030\001 \001(\t\022\014\n\004node\030\002 \001(\t\022\026" +
-      "\n\016failure_domain\030\003 \001(\t\022\020\n\010draining\030\004 \001(\010" +
-      "\022\036\n\026configuration_revision\030\005 \001(\003\022\020\n\010sequ" +
-      "ence\030\006 \001(\003\022.\n\005loads\030\007 \003(\0132\037.skylarkmast." +
-      "peer.v1.RunnerLoad\"\207\001\n\016HeartbeatReply\022\023\n" +
-      "\013incarnation\030\001 \001(\t\022\020\n\010draining\030\002 \001(\010\022\036\n\026" +
-      "configuration_revision\030\003 \001(\003\022.\n\005loads\030\004 " +
-      "\003(\0132\037.skylarkmast.peer.v1.RunnerLoad\"Q\n\013" +
-      "CopiedEntry\022\021\n\tpartition\030\001 \001(\005\022\r\n\005epoch\030" +
-      "\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\022\016\n\006record\030\004 \001(\014\"" +
-      "\216\001\n\022StoreCopiesRequest\022\023\n\013incarnation\030\001 " +
-      "\001(\t\0221\n\007entries\030\002 \003(\0132 .skylarkmast.peer." +
-      "v1.CopiedEntry\0220\n\tcommitted\030\003 \003(\0132\035.skyl" +
-      "arkmast.peer.v1.CopyMark\">\n\010CopyMark\022\021\n\t" +
-      "partition\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022\020\n\010sequen" +
-      "ce\030\003 \001(\003\"\022\n\020StoreCopiesReply\"\'\n\022FetchCop" +
-      "iesRequest\022\021\n\tpartition\030\001 \001(\005\"E\n\020FetchCo" +
-      "piesReply\0221\n\007entries\030\001 \003(\0132 .skylarkmast" +
-      ".peer.v1.CopiedEntry\"3\n\031FetchConfigurati" +
-      "onRequest\022\026\n\016above_revision\030\001 \001(\003\"B\n\027Fet" +
-      "chConfigurationReply\022\020\n\010revision\030\001 \001(\003\022\025" +
-      "\n\rconfiguration\030\002 \001(\0142\335\003\n\004Peer\022J\n\004Call\022 " +
-      ".skylarkmast.peer.v1.CallRequest\032\036.skyla" +
-      "rkmast.peer.v1.CallReply0\001\022W\n\tHeartbeat\022" +
-      "%.skylarkmast.peer.v1.HeartbeatRequest\032#" +
-      ".skylarkmast.peer.v1.HeartbeatReply\022]\n\013S" +
-      "toreCopies\022\'.skylarkmast.peer.v1.StoreCo" +
-      "piesRequest\032%.skylarkmast.peer.v1.StoreC" +
-      "opiesReply\022]\n\013FetchCopies\022\'.skylarkmast." +
-      "peer.v1.FetchCopiesRequest\032%.skylarkmast" +
-      ".peer.v1.FetchCopiesReply\022r\n\022FetchConfig" +
-      "uration\022..skylarkmast.peer.v1.FetchConfi" +
-      "gurationRequest\032,.skylarkmast.peer.v1.Fe" +
-      "tchConfigurationReplyB%\n\030org.skylarkmast" +
-      ".rpc.peerB\tPeerProtob\006proto3"
+      "\n\npeer.proto\022\023skylarkmast.peer.v1\"2\n\013Cal" +
+      "lRequest\022\017\n\007request\030\001 \001(\014\022\014\n\004hops\030\003 \001(\005J" +
+      "\004\010\002\020\003\"Y\n\tCallReply\022\017\n\005event\030\001 \001(\014H\000\0222\n\tn" +
+      "ot_owner\030\002 \001(\0132\035.skylarkmast.peer.v1.Not" +
+      "OwnerH\000B\007\n\005reply\"8\n\010NotOwner\022\021\n\tpartitio" +
+      "n\030\001 \001(\005\022\031\n\021owner_incarnation\030\002 \001(\t\"Z\n\nRu" +
+      "nnerLoad\022\016\n\006runner\030\001 \001(\t\022\r\n\005calls\030\002 \001(\005\022" +
+      "\026\n\016prefill_tokens\030\003 \001(\003\022\025\n\rdecode_tokens" +
+      "\030\004 \001(\003\"\301\001\n\020HeartbeatRequest\022\023\n\013incarnati" +
+      "on\030\001 \001(\t\022\014\n\004node\030\002 \001(\t\022\026\n\016failure_domain" +
+      "\030\003 \001(\t\022\020\n\010draining\030\004 \001(\010\022\036\n\026configuratio" +
+      "n_revision\030\005 \001(\003\022\020\n\010sequence\030\006 \001(\003\022.\n\005lo" +
+      "ads\030\007 \003(\0132\037.skylarkmast.peer.v1.RunnerLo" +
+      "ad\"\207\001\n\016HeartbeatReply\022\023\n\013incarnation\030\001 \001" +
+      "(\t\022\020\n\010draining\030\002 \001(\010\022\036\n\026configuration_re" +
+      "vision\030\003 \001(\003\022.\n\005loads\030\004 \003(\0132\037.skylarkmas" +
+      "t.peer.v1.RunnerLoad\"Q\n\013CopiedEntry\022\021\n\tp" +
+      "artition\030\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022\020\n\010sequenc" +
+      "e\030\003 \001(\003\022\016\n\006record\030\004 \001(\014\"\216\001\n\022StoreCopiesR" +
+      "equest\022\023\n\013incarnation\030\001 \001(\t\0221\n\007entries\030\002" +
+      " \003(\0132 .skylarkmast.peer.v1.CopiedEntry\0220" +
+      "\n\tcommitted\030\003 \003(\0132\035.skylarkmast.peer.v1." +
+      "CopyMark\">\n\010CopyMark\022\021\n\tpartition\030\001 \001(\005\022" +
+      "\r\n\005epoch\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\"\022\n\020Stor" +
+      "eCopiesReply\"\'\n\022FetchCopiesRequest\022\021\n\tpa" +
+      "rtition\030\001 \001(\005\"E\n\020FetchCopiesReply\0221\n\007ent" +
+      "ries\030\001 \003(\0132 .skylarkmast.peer.v1.CopiedE" +
+      "ntry\"3\n\031FetchConfigurationRequest\022\026\n\016abo" +
+      "ve_revision\030\001 \001(\003\"B\n\027FetchConfigurationR" +
+      "eply\022\020\n\010revision\030\001 \001(\003\022\025\n\rconfiguration\030" +
+      "\002 \001(\0142\335\003\n\004Peer\022J\n\004Call\022 .skylarkmast.pee" +
+      "r.v1.CallRequest\032\036.skylarkmast.peer.v1.C" +
+      "allReply0\001\022W\n\tHeartbeat\022%.skylarkmast.pe" +
+      "er.v1.HeartbeatRequest\032#.skylarkmast.pee" +
+      "r.v1.HeartbeatReply\022]\n\013StoreCopies\022\'.sky" +
+      "larkmast.peer.v1.StoreCopiesRequest\032%.sk" +
+      "ylarkmast.peer.v1.StoreCopiesReply\022]\n\013Fe" +
+      "tchCopies\022\'.skylarkmast.peer.v1.FetchCop" +
+      "iesRequest\032%.skylarkmast.peer.v1.FetchCo" +
+      "piesReply\022r\n\022FetchConfiguration\022..skylar" +
+      "kmast.peer.v1.FetchConfigurationRequest\032" +
+      ",.skylarkmast.peer.v1.FetchConfiguration" +
+      "ReplyB%\n\030org.skylarkmast.rpc.peerB\tPeerP" +
+      "rotob\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -10671,7 +10523,7 @@
     internal_static_skylarkmast_peer_v1_CallRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_skylarkmast_peer_v1_CallRequest_descriptor,
-        new java.lang.String[] { "Request", "TraceParent", "Hops", });
+        new java.lang.String[] { "Request", "Hops", });
     internal_static_skylarkmast_peer_v1_CallReply_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_skylarkmast_peer_v1_CallReply_fieldAccessorTable = new
