--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/journal/Journal.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/journal/Journal.java
@@ -25,6 +25,16 @@
      */
     void snapshot(int partition, long throughSequence, List<byte[]> chunks, Consumer<Boolean> done);
 
+    /**
+     * The journal as seen by whoever serves {@code partition} since it was acquired at {@code
+     * epoch}.
+     *
+     * <p>Once the partition was lost it takes no records or snapshots, even if this node owns the
+     * partition again: state that was served before is stale then. It stays in use when the
+     * partition is reacquired. Whoever learns of a loss later than the journal does has to use it.
+     */
+    Journal heldSince(int partition, long epoch);
+
     /** Whether the key-value service has not taken records for longer than it normally does. */
     boolean degraded();
 
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/journal/PartitionLog.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/journal/PartitionLog.java
@@ -16,6 +16,7 @@
  */
 public final class PartitionLog {
     private final int partition;
+    private final long openedEpoch;
     private final Deque<PendingRecord> waiting = new ArrayDeque<>();
     private final List<PendingRecord> sealed = new ArrayList<>();
 
@@ -67,6 +68,7 @@
     public PartitionLog(
             int partition, long epoch, long claimRevision, JournalState state, long nowNs) {
         this.partition = partition;
+        openedEpoch = epoch;
         this.epoch = epoch;
         this.claimRevision = claimRevision;
         committedSequence = state.committedSequence();
@@ -223,6 +225,11 @@
         return partition;
     }
 
+    /** The epoch at which the partition was acquired; the present one may be later. */
+    public long openedEpoch() {
+        return openedEpoch;
+    }
+
     /** This owner's epoch. */
     public long epoch() {
         return epoch;
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/journal/ReplayAssembler.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/journal/ReplayAssembler.java
@@ -50,7 +50,7 @@
     public JournalState finish(List<CopiedRecord> copies) {
         List<byte[]> records = new ArrayList<>();
         long lastSequence = head.throughSequence();
-        long lastEpoch = 0;
+        long lastEpoch = head.epoch();
         for (JournalBatch batch : batches) {
             if (batch.lastSequence() <= lastSequence) {
                 continue;
@@ -67,7 +67,7 @@
             int skipped = (int) (lastSequence + 1 - batch.firstSequence());
             records.addAll(batch.records().subList(skipped, batch.records().size()));
             lastSequence = batch.lastSequence();
-            lastEpoch = batch.epoch();
+            lastEpoch = Math.max(lastEpoch, batch.epoch());
         }
         long committedSequence = lastSequence;
         List<CopiedRecord> usable = usableCopies(copies, committedSequence, lastEpoch);
@@ -96,7 +96,7 @@
      * Chooses the copies that follow the stored records without a gap, all by one owner epoch.
      *
      * <p>The latest epoch wins, since its owner went on from what it had found itself. An epoch
-     * before that of the last stored record was superseded by a committed one.
+     * before that of the last stored record or snapshot was superseded by a committed one.
      */
     private List<CopiedRecord> usableCopies(
             List<CopiedRecord> copies, long committedSequence, long lastEpoch) {
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/ownership/OwnershipMachine.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/ownership/OwnershipMachine.java
@@ -32,6 +32,8 @@
     private boolean directoryRead;
     private long directoryReadAtNs;
     private long sessionsChangedAtNs;
+    private boolean mostGoneSeen;
+    private long mostGoneAtNs;
 
     /**
      * Creates a machine that owns nothing.
@@ -176,6 +178,7 @@
     }
 
     private void sessionsChanged(long nowNs) {
+        noteMassLapse(nowNs);
         ranking = new RendezvousRanking(sessions);
         sessionsChangedAtNs = nowNs;
     }
@@ -277,6 +280,7 @@
             return;
         }
         forgetUnreferencedSessions();
+        noteMassLapse(nowNs);
         claimOrphans(nowNs, actions);
         int handOvers = 0;
         for (PartitionSlot slot : slots) {
@@ -342,7 +346,7 @@
         if (slot.record != null) {
             sinceNs = goneAtNs.computeIfAbsent(slot.record.incarnation(), key -> nowNs);
         }
-        long graceMs = mostSessionsGone() ? settings.massGraceMs() : settings.shortGraceMs();
+        long graceMs = massLapse(nowNs) ? settings.massGraceMs() : settings.shortGraceMs();
         if (nowNs - sinceNs < graceMs * NS_PER_MS) {
             return false;
         }
@@ -350,10 +354,18 @@
         return rank >= 0 && nowNs - sinceNs >= (graceMs + rank * settings.fallbackMs()) * NS_PER_MS;
     }
 
-    /** Whether two or more sessions, and at least half of all known, are gone. */
-    private boolean mostSessionsGone() {
+    /** Whether most sessions vanished together, now or within the longer grace. */
+    private boolean massLapse(long nowNs) {
+        return mostGoneSeen && nowNs - mostGoneAtNs < settings.massGraceMs() * NS_PER_MS;
+    }
+
+    /** Notes whether two or more sessions, and at least half of all known, are gone. */
+    private void noteMassLapse(long nowNs) {
         int gone = goneAtNs.size();
-        return gone >= 2 && gone >= sessions.size();
+        if (gone >= 2 && gone >= sessions.size()) {
+            mostGoneSeen = true;
+            mostGoneAtNs = nowNs;
+        }
     }
 
     private void forgetUnreferencedSessions() {
--- a/skylarkmast-core/src/test/java/org/skylarkmast/core/journal/ReplayAssemblerTest.java
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/journal/ReplayAssemblerTest.java
@@ -27,6 +27,7 @@
         "copies of an epoch that was passed, 0, 1:1-2 2:3-3,   1:3 1:4,                123,   3",
         "copies of the latest epoch only,    0, 1:1-2,         1:3 1:4 2:3,            123,   3",
         "copies after a snapshot,            3, '',            1:4,                    4,     4",
+        "copies older than a snapshot,       3, '',            0:4,                    '',    3",
         "copies without a stored record,     0, '',            1:1 1:2,                12,    2",
         "copies of another partition,        0, 1:1-2,         9/1:3,                  12,    2"
     })
@@ -38,7 +39,7 @@
             String expected,
             long lastSequence) {
         ReplayAssembler assembler = new ReplayAssembler(3);
-        assembler.head(new SnapshotHead(through == 0 ? 0 : 1, 0, through), 5);
+        assembler.head(new SnapshotHead(through == 0 ? 0 : 1, 0, through, through == 0 ? 0 : 1), 5);
         for (String batch : split(batches)) {
             String[] parts = batch.split("[:-]", -1);
             long first = Long.parseLong(parts[1]);
@@ -74,7 +75,7 @@
     @Test
     void leftOverChunksArePassedOver() {
         ReplayAssembler assembler = new ReplayAssembler(3);
-        assembler.head(new SnapshotHead(2, 1, 4), 5);
+        assembler.head(new SnapshotHead(2, 1, 4, 1), 5);
         assembler.chunk(1, 0, record(1));
         assembler.chunk(2, 0, record(2));
         assembler.chunk(2, 1, record(3));
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/journal/JournalWriter.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/journal/JournalWriter.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.skylarkmast.core.journal.AppendOutcome;
 import org.skylarkmast.core.journal.FlushPacer;
@@ -171,13 +172,71 @@
 
     @Override
     public void append(int partition, byte[] record, Consumer<AppendOutcome> progress) {
+        append(partition, log -> true, record, progress);
+    }
+
+    @Override
+    public void snapshot(
+            int partition, long throughSequence, List<byte[]> chunks, Consumer<Boolean> done) {
+        snapshot(partition, log -> true, throughSequence, chunks, done);
+    }
+
+    @Override
+    public Journal heldSince(int partition, long epoch) {
+        return new HeldJournal(epoch);
+    }
+
+    @Override
+    public boolean degraded() {
+        return copies.degraded();
+    }
+
+    /** Takes records only for logs opened at one epoch. */
+    private final class HeldJournal implements Journal {
+        private final long epoch;
+
+        private HeldJournal(long epoch) {
+            this.epoch = epoch;
+        }
+
+        @Override
+        public void append(int partition, byte[] record, Consumer<AppendOutcome> progress) {
+            JournalWriter.this.append(partition, this::sameHold, record, progress);
+        }
+
+        @Override
+        public void snapshot(
+                int partition, long throughSequence, List<byte[]> chunks, Consumer<Boolean> done) {
+            JournalWriter.this.snapshot(partition, this::sameHold, throughSequence, chunks, done);
+        }
+
+        @Override
+        public Journal heldSince(int partition, long heldEpoch) {
+            return JournalWriter.this.heldSince(partition, heldEpoch);
+        }
+
+        @Override
+        public boolean degraded() {
+            return JournalWriter.this.degraded();
+        }
+
+        private boolean sameHold(PartitionLog log) {
+            return log.openedEpoch() == epoch;
+        }
+    }
+
+    private void append(
+            int partition,
+            Predicate<PartitionLog> wanted,
+            byte[] record,
+            Consumer<AppendOutcome> progress) {
         if (record.length > MAX_RECORD_BYTES) {
             throw new IllegalArgumentException("record of " + record.length + " bytes");
         }
         loop.execute(
                 () -> {
                     PartitionLog log = logs.get(partition);
-                    if (log == null) {
+                    if (log == null || !wanted.test(log)) {
                         progress.accept(new AppendOutcome.Fenced());
                     } else {
                         log.append(record, progress, nowNs.getAsLong());
@@ -186,14 +245,19 @@
                 });
     }
 
-    @Override
-    public void snapshot(
-            int partition, long throughSequence, List<byte[]> chunks, Consumer<Boolean> done) {
+    private void snapshot(
+            int partition,
+            Predicate<PartitionLog> wanted,
+            long throughSequence,
+            List<byte[]> chunks,
+            Consumer<Boolean> done) {
         List<byte[]> copy = List.copyOf(chunks);
         loop.execute(
                 () -> {
                     PartitionLog log = logs.get(partition);
-                    if (log == null || throughSequence > log.committedSequence()) {
+                    if (log == null
+                            || !wanted.test(log)
+                            || throughSequence > log.committedSequence()) {
                         done.accept(false);
                     } else {
                         snapshots.write(log, throughSequence, copy, done);
@@ -201,11 +265,6 @@
                 });
     }
 
-    @Override
-    public boolean degraded() {
-        return copies.degraded();
-    }
-
     private void markDirty(PartitionLog log) {
         if (log.dirty()) {
             dirty.putIfAbsent(log.partition(), log);
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/journal/SnapshotWriter.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/journal/SnapshotWriter.java
@@ -70,7 +70,8 @@
     /** Writes a snapshot after those asked for earlier. */
     void write(
             PartitionLog log, long throughSequence, List<byte[]> chunks, Consumer<Boolean> done) {
-        SnapshotHead head = new SnapshotHead(log.nextGeneration(), chunks.size(), throughSequence);
+        SnapshotHead head =
+                new SnapshotHead(log.nextGeneration(), chunks.size(), throughSequence, log.epoch());
         jobs.add(new Job(log, head, chunks, done));
         if (jobs.size() == 1) {
             proceed();
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/journal/JournalWriterTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/journal/JournalWriterTest.java
@@ -13,6 +13,7 @@
 import org.skylarkmast.core.journal.AppendOutcome;
 import org.skylarkmast.core.journal.CopiedRecord;
 import org.skylarkmast.core.journal.CopyMark;
+import org.skylarkmast.core.journal.Journal;
 import org.skylarkmast.core.journal.JournalState;
 import org.skylarkmast.core.store.StoreKeys;
 import org.skylarkmast.core.store.Txn;
@@ -108,6 +109,19 @@
                 .containsExactly("committed by the successor", "fenced lost on the way");
     }
 
+    @Test
+    void whoeverServedThePartitionBeforeItWasLostAddsNothingToTheNextHold() {
+        Journal before = writer.heldSince(PARTITION, 1);
+        writer.close(PARTITION);
+        open(writer, PARTITION, 3);
+        before.append(PARTITION, new byte[1], outcome -> outcomes.add(name(outcome) + "stale"));
+        before.snapshot(PARTITION, 0, List.of(), done -> outcomes.add("snapshot " + done));
+        Journal now = writer.heldSince(PARTITION, 3);
+        now.append(PARTITION, new byte[1], outcome -> outcomes.add(name(outcome) + "fresh"));
+        simulation.runMs(1_000);
+        assertThat(outcomes).containsExactly("fenced stale", "snapshot false", "committed fresh");
+    }
+
     @Test
     void suspendedPartitionGoesOnUnderItsNewClaim() {
         append(PARTITION, "one");
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/ownership/InterleavingTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/ownership/InterleavingTest.java
@@ -129,9 +129,9 @@
         for (String text : contents) {
             String[] parts = text.split(" ", -1);
             long epoch = Long.parseLong(parts[1]);
-            assertThat(epoch).isAtLeast(lastEpoch);
+            assertWithMessage("%s", contents).that(epoch).isAtLeast(lastEpoch);
             if (epoch == lastEpoch) {
-                assertThat(parts[0]).isEqualTo(lastNode);
+                assertWithMessage("%s", contents).that(parts[0]).isEqualTo(lastNode);
             }
             lastEpoch = epoch;
             lastNode = parts[0];
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/sim/SimulatedNode.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/sim/SimulatedNode.java
@@ -10,6 +10,7 @@
 import org.skylarkmast.core.journal.AppendOutcome;
 import org.skylarkmast.core.journal.CopiedRecord;
 import org.skylarkmast.core.journal.CopyMark;
+import org.skylarkmast.core.journal.Journal;
 import org.skylarkmast.core.journal.PeerCopySource;
 import org.skylarkmast.core.journal.ReplayedPartition;
 import org.skylarkmast.core.key.ProgramKey;
@@ -48,6 +49,7 @@
 
     private final Map<Integer, Integer> underWay = new HashMap<>();
     private final Map<Integer, Runnable> releasing = new HashMap<>();
+    private final Map<Integer, Journal> held = new HashMap<>();
     private final Map<Integer, Integer> holds = new HashMap<>();
     private final Map<Integer, Long> lastSequence = new HashMap<>();
     private int incarnations;
@@ -102,34 +104,36 @@
     public void append(int partition, String text) {
         underWay.merge(partition, 1, Integer::sum);
         int hold = holds.getOrDefault(partition, 0);
-        journal.append(
-                partition,
-                text.getBytes(StandardCharsets.UTF_8),
-                outcome -> {
-                    switch (outcome) {
-                        case AppendOutcome.Committed done -> {
-                            committed.add(text);
-                            if (hold == holds.getOrDefault(partition, 0)) {
-                                state.get(partition).add(text);
-                                lastSequence.put(partition, done.sequence());
-                                ended(partition);
+        held.get(partition)
+                .append(
+                        partition,
+                        text.getBytes(StandardCharsets.UTF_8),
+                        outcome -> {
+                            switch (outcome) {
+                                case AppendOutcome.Committed done -> {
+                                    committed.add(text);
+                                    if (hold == holds.getOrDefault(partition, 0)) {
+                                        state.get(partition).add(text);
+                                        lastSequence.put(partition, done.sequence());
+                                        ended(partition);
+                                    }
+                                }
+                                case AppendOutcome.Copied copy -> copied.add(text);
+                                case AppendOutcome.Fenced lost -> fenced.add(text);
                             }
-                        }
-                        case AppendOutcome.Copied copy -> copied.add(text);
-                        case AppendOutcome.Fenced lost -> fenced.add(text);
-                    }
-                });
+                        });
     }
 
     /** Replaces the journal of {@code partition} by one snapshot of all that is committed. */
     public void snapshot(int partition) {
         if (lastSequence.containsKey(partition)) {
             String all = String.join("\n", state.get(partition));
-            journal.snapshot(
-                    partition,
-                    lastSequence.get(partition),
-                    List.of(all.getBytes(StandardCharsets.UTF_8)),
-                    done -> {});
+            held.get(partition)
+                    .snapshot(
+                            partition,
+                            lastSequence.get(partition),
+                            List.of(all.getBytes(StandardCharsets.UTF_8)),
+                            done -> {});
         }
     }
 
@@ -184,6 +188,7 @@
         serving.add(partition);
         epochs.put(partition, epoch);
         replays.put(partition, replay);
+        held.put(partition, journal.heldSince(partition, epoch));
         underWay.remove(partition);
         holds.merge(partition, 1, Integer::sum);
         lastSequence.remove(partition);
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/sim/Simulation.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/sim/Simulation.java
@@ -43,7 +43,7 @@
 
     /** Loop tasks of {@code node} wait until the pause is over. */
     public void pause(String node, long pauseMs) {
-        pausedUntilNs.put(node, nowNs + pauseMs * NS_PER_MS);
+        pausedUntilNs.merge(node, nowNs + pauseMs * NS_PER_MS, Math::max);
     }
 
     /** Whether {@code node} is paused now. */
