--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/cluster/LocalCluster.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/cluster/LocalCluster.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import org.skylarkmast.bench.history.HistoryRecord;
 import org.skylarkmast.core.json.JsonUtil;
+import org.skylarkmast.core.key.ProgramKey;
 import org.skylarkmast.http.HttpClient;
 import org.skylarkmast.http.HttpOutcome;
 import org.skylarkmast.http.HttpSend;
@@ -67,6 +68,7 @@
             cluster.publishHosts();
             long revision = cluster.publishObjects();
             cluster.awaitRevision(revision);
+            cluster.awaitAllOwned();
             return cluster;
         } catch (IOException | RuntimeException e) {
             cluster.close();
@@ -207,6 +209,29 @@
         }
     }
 
+    /** Waits until running nodes own all partitions between them. */
+    public void awaitAllOwned() throws IOException {
+        Await.until(
+                "all partitions are owned",
+                SPREAD_TIMEOUT_MS,
+                POLL_MS,
+                () -> ownedPartitions() == ProgramKey.PARTITIONS);
+    }
+
+    private int ownedPartitions() {
+        int owned = 0;
+        for (Node node : nodes) {
+            if (alive(node)) {
+                String status = administration(node, "/v1/status");
+                owned +=
+                        status.isEmpty()
+                                ? 0
+                                : JsonUtil.MAPPER.readTree(status).path("partitionsOwned").asInt(0);
+            }
+        }
+        return owned;
+    }
+
     /** All nodes, those ended or paused too. */
     public List<Node> nodes() {
         return List.copyOf(nodes);
@@ -262,6 +287,21 @@
         history.accept(new HistoryRecord.FaultEnded(nowMs(), node.name()));
     }
 
+    /** Ends all faults: resumes and heals every stand-in and starts every node that has ended. */
+    public void restore() throws IOException {
+        for (String standIn : standIns.names()) {
+            signal(standIn, Signal.CONT);
+            heal(standIn);
+        }
+        for (Node node : nodes) {
+            signal(node.name(), Signal.CONT);
+            if (!alive(node)) {
+                restart(node);
+            }
+        }
+        publishHosts();
+    }
+
     /** Sets the faults of a stand-in. */
     public void inject(String standIn, Map<String, Object> faults) throws IOException {
         history.accept(new HistoryRecord.FaultStarted(nowMs(), standIn, faults.toString()));
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/cluster/StandIns.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/cluster/StandIns.java
@@ -149,6 +149,10 @@
         return controls.get(HOSTS);
     }
 
+    List<String> names() {
+        return List.copyOf(processes.keySet());
+    }
+
     ChildProcess process(String name) {
         return processes.get(name);
     }
--- /dev/null
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/compare/PolicyResult.java
@@ -0,0 +1,53 @@
+package org.skylarkmast.bench.compare;
+
+import java.util.List;
+import org.skylarkmast.bench.load.ProgramResult;
+
+/**
+ * The figures of one policy on one seed.
+ *
+ * @param whole programs whose every request succeeded
+ * @param latencyP50Ms median latency of whole programs, without their tool pauses
+ * @param wastedShare share of computed prompt tokens that had been computed before, 0 to 1
+ */
+record PolicyResult(
+        String policy,
+        long seed,
+        int programs,
+        int whole,
+        long latencyP50Ms,
+        long latencyP95Ms,
+        long computedTokens,
+        double wastedShare,
+        double programsPerSecond) {
+
+    static PolicyResult of(String policy, long seed, List<ProgramResult> results, long tookMs) {
+        List<Long> latencies =
+                results.stream()
+                        .filter(ProgramResult::whole)
+                        .map(ProgramResult::latencyMs)
+                        .sorted()
+                        .toList();
+        long computed = results.stream().mapToLong(ProgramResult::computedTokens).sum();
+        long wasted = results.stream().mapToLong(ProgramResult::wastedTokens).sum();
+        return new PolicyResult(
+                policy,
+                seed,
+                results.size(),
+                latencies.size(),
+                quantile(latencies, 0.5),
+                quantile(latencies, 0.95),
+                computed,
+                computed == 0 ? 0 : (double) wasted / computed,
+                latencies.size() * 1_000.0 / Math.max(1, tookMs));
+    }
+
+    /** The smallest value that at least the share {@code q} of the values do not exceed. */
+    private static long quantile(List<Long> sorted, double q) {
+        if (sorted.isEmpty()) {
+            return 0;
+        }
+        int index = (int) Math.ceil(q * sorted.size()) - 1;
+        return sorted.get(Math.max(0, index));
+    }
+}
--- /dev/null
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/compare/RoundRobinCaller.java
@@ -0,0 +1,159 @@
+package org.skylarkmast.bench.compare;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.skylarkmast.bench.caller.CallerOutcome;
+import org.skylarkmast.bench.caller.CallerRequest;
+import org.skylarkmast.bench.cluster.ObjectSet;
+import org.skylarkmast.bench.cluster.Runner;
+import org.skylarkmast.bench.history.HistoryRecord.Execution;
+import org.skylarkmast.bench.history.HistoryRecord.Kind;
+import org.skylarkmast.bench.history.HistoryRecord.Message;
+import org.skylarkmast.core.json.JsonUtil;
+import org.skylarkmast.http.AbortSignal;
+import org.skylarkmast.http.HttpClient;
+import org.skylarkmast.http.HttpOutcome;
+import org.skylarkmast.http.HttpSend;
+import tools.jackson.databind.JsonNode;
+
+/**
+ * The baseline: sends each call to the next runner in turn, past the product; the caller keeps the
+ * history. Thread-safe.
+ */
+final class RoundRobinCaller {
+    private static final long TIMEOUT_MS = 60_000;
+    private static final String DATA = "data:";
+
+    private final HttpClient http;
+    private final List<Runner> engines;
+    private final List<Runner> services;
+    private final AtomicInteger next = new AtomicInteger();
+    private final Map<String, List<Message>> histories = new ConcurrentHashMap<>();
+
+    RoundRobinCaller(HttpClient http, List<Runner> engines, List<Runner> services) {
+        this.http = http;
+        this.engines = List.copyOf(engines);
+        this.services = List.copyOf(services);
+    }
+
+    /** Sends until a runner takes the call, at most once to each. */
+    CallerOutcome call(CallerRequest request) {
+        List<Runner> runners = request.kind() == Kind.MODEL ? engines : services;
+        CallerOutcome outcome = new CallerOutcome.Cut(false, "no runner");
+        for (int i = 0; i < runners.size(); i++) {
+            Runner runner = runners.get(Math.floorMod(next.getAndIncrement(), runners.size()));
+            outcome =
+                    request.kind() == Kind.MODEL
+                            ? model(runner, request)
+                            : service(runner, request);
+            if (outcome instanceof CallerOutcome.Succeeded) {
+                return outcome;
+            }
+        }
+        return outcome;
+    }
+
+    private CallerOutcome model(Runner runner, CallerRequest request) {
+        List<Message> history =
+                histories.computeIfAbsent(request.programKey(), key -> new ArrayList<>());
+        List<Message> prompt = new ArrayList<>(history);
+        prompt.add(new Message("user", request.text()));
+        Map<String, Object> body =
+                Map.of(
+                        "model",
+                        ObjectSet.MODEL,
+                        "messages",
+                        prompt,
+                        "stream",
+                        true,
+                        "stream_options",
+                        Map.of("include_usage", true));
+        StringBuilder text = new StringBuilder();
+        Usage usage = new Usage();
+        long sentNs = System.nanoTime();
+        HttpOutcome outcome =
+                http.stream(
+                        send(runner, request, "/v1/chat/completions", body),
+                        new AbortSignal(),
+                        line -> usage.onLine(line, text, sentNs));
+        if (!usage.done) {
+            return new CallerOutcome.Refused(503, Execution.UNSTATED, 0, outcome.toString());
+        }
+        prompt.add(new Message("assistant", text.toString()));
+        histories.put(request.programKey(), prompt);
+        return new CallerOutcome.Succeeded(
+                text.toString(),
+                "",
+                0,
+                -1,
+                usage.cachedTokens,
+                usage.promptTokens - usage.cachedTokens,
+                usage.firstTokenMs);
+    }
+
+    private CallerOutcome service(Runner runner, CallerRequest request) {
+        boolean lookup = request.repeatable();
+        String path = lookup ? ObjectSet.LOOKUP_PATH : ObjectSet.ORDER_PATH;
+        HttpSend post = send(runner, request, path, Map.of("order", request.text()));
+        HttpOutcome outcome =
+                http.send(
+                        lookup
+                                ? new HttpSend(
+                                        post.address(),
+                                        "GET",
+                                        path,
+                                        post.headers(),
+                                        new byte[0],
+                                        TIMEOUT_MS,
+                                        false)
+                                : post);
+        return outcome instanceof HttpOutcome.Answered answered && answered.status() / 100 == 2
+                ? new CallerOutcome.Succeeded(answered.text(), "", 0, -1, 0, 0, -1)
+                : new CallerOutcome.Refused(503, Execution.UNSTATED, 0, outcome.toString());
+    }
+
+    private static HttpSend send(
+            Runner runner, CallerRequest request, String path, Map<String, Object> body) {
+        Map<String, String> headers = new HashMap<>();
+        headers.put("Content-Type", "application/json");
+        headers.put("Skylarkmast-Program", request.programKey());
+        headers.put("Idempotency-Key", request.programKey() + ":" + request.key());
+        return new HttpSend(
+                runner.address(), "POST", path, headers, JsonUtil.toBytes(body), TIMEOUT_MS, false);
+    }
+
+    /** What a stream has told so far. */
+    private static final class Usage {
+        private boolean done;
+        private long promptTokens;
+        private long cachedTokens;
+        private long firstTokenMs = -1;
+
+        boolean onLine(String line, StringBuilder text, long sentNs) {
+            if (!line.startsWith(DATA)) {
+                return true;
+            }
+            String payload = line.substring(DATA.length()).strip();
+            if (payload.equals("[DONE]")) {
+                done = true;
+                return true;
+            }
+            JsonNode chunk = JsonUtil.MAPPER.readTree(payload);
+            JsonNode usage = chunk.path("usage");
+            if (usage.isObject()) {
+                promptTokens = usage.path("prompt_tokens").asLong(0);
+                cachedTokens = usage.path("prompt_tokens_details").path("cached_tokens").asLong(0);
+            }
+            String piece = chunk.path("choices").path(0).path("delta").path("content").asString("");
+            if (!piece.isEmpty() && firstTokenMs < 0) {
+                firstTokenMs = (System.nanoTime() - sentNs) / 1_000_000;
+            }
+            text.append(piece);
+            return true;
+        }
+    }
+}
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/load/ProgramRun.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/load/ProgramRun.java
@@ -2,21 +2,25 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import org.skylarkmast.bench.caller.CallerOutcome;
-import org.skylarkmast.bench.caller.RetryingCaller;
+import org.skylarkmast.bench.caller.CallerRequest;
 import org.skylarkmast.bench.cluster.Await;
 
 /** Carries out one program; sub-agents run on threads of their own. */
 final class ProgramRun {
-    private final RetryingCaller caller;
+    private final Function<CallerRequest, CallerOutcome> caller;
     private final AtomicInteger calls = new AtomicInteger();
     private final AtomicInteger failed = new AtomicInteger();
     private final AtomicLong cachedTokens = new AtomicLong();
     private final AtomicLong computedTokens = new AtomicLong();
+    private final Map<String, Long> longestPrompts = new ConcurrentHashMap<>();
 
-    ProgramRun(RetryingCaller caller) {
+    ProgramRun(Function<CallerRequest, CallerOutcome> caller) {
         this.caller = caller;
     }
 
@@ -30,7 +34,8 @@
                 calls.get(),
                 failed.get(),
                 cachedTokens.get(),
-                computedTokens.get());
+                computedTokens.get(),
+                longestPrompts.values().stream().mapToLong(Long::longValue).sum());
     }
 
     /** Returns the time that the program's own tool pauses took. */
@@ -53,11 +58,15 @@
     }
 
     private void call(Step.Call call) {
-        switch (caller.call(call.request())) {
+        switch (caller.apply(call.request())) {
             case CallerOutcome.Succeeded done -> {
                 calls.incrementAndGet();
                 cachedTokens.addAndGet(done.cachedTokens());
                 computedTokens.addAndGet(done.computedTokens());
+                longestPrompts.merge(
+                        call.request().program(),
+                        done.cachedTokens() + done.computedTokens(),
+                        Math::max);
             }
             case CallerOutcome.Refused ignored -> failed.incrementAndGet();
             case CallerOutcome.Cut ignored -> failed.incrementAndGet();
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/load/StandInAnswers.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/load/StandInAnswers.java
@@ -1,18 +1,24 @@
 package org.skylarkmast.bench.load;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.zip.CRC32C;
 import org.skylarkmast.bench.history.AnswerRule;
 import org.skylarkmast.bench.history.HistoryRecord;
 
-/** The engine stand-in's rule: every word of an answer begins with a hash of the whole prompt. */
+/**
+ * The engine stand-in's rule, stated independently of it: every word of an answer begins with
+ * {@code w} and the CRC-32C of all roles and contents, each ended by a zero byte.
+ */
 public final class StandInAnswers implements AnswerRule {
 
     @Override
     public String mark(List<HistoryRecord.Message> prompt) {
-        StringBuilder words = new StringBuilder();
+        CRC32C crc = new CRC32C();
         for (HistoryRecord.Message message : prompt) {
-            words.append(message.role()).append(' ').append(message.content()).append('\n');
+            crc.update((message.role() + '\0').getBytes(StandardCharsets.UTF_8));
+            crc.update((message.content() + '\0').getBytes(StandardCharsets.UTF_8));
         }
-        return "w" + Integer.toHexString(words.toString().hashCode());
+        return "w" + Long.toHexString(crc.getValue());
     }
 }
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/soak/RunJudge.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/soak/RunJudge.java
@@ -23,6 +23,7 @@
  */
 public final class RunJudge {
     private static final long PATIENCE_MS = 60_000;
+    private static final long RELEASE_PATIENCE_MS = 60_000;
     private static final long POLL_MS = 200;
 
     private final LocalCluster cluster;
@@ -66,7 +67,7 @@
                 end(program);
             }
         }
-        Await.holds(PATIENCE_MS, POLL_MS, () -> heldOf(programs).isEmpty());
+        Await.holds(RELEASE_PATIENCE_MS, POLL_MS, () -> heldOf(programs).isEmpty());
         cluster.observeRevisions();
         collectTargets();
         return new HistoryChecker(answerRule, CheckerLimits.PROMISED).check(log.records());
