[membership] Wire heartbeats, the host list and leaving runners

Nothing new is forwarded to an owner that misses heartbeats; runners on leaving hosts get nothing new; owners tell each other their load with every heartbeat.

--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/RequestRouter.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/RequestRouter.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.skylarkmast.core.ownership.OwnerLocation;
 import org.skylarkmast.core.ownership.PartitionDirectory;
 import org.skylarkmast.core.program.CallerEvent;
@@ -30,22 +31,26 @@
     private static final long RETRY_AFTER_MS = 2_000;
 
     private final PartitionDirectory directory;
+    private final Predicate<OwnerLocation> reachable;
     private final OwnerLink link;
     private final LongSupplier clockNs;
     private final DoubleSupplier random;
     private final Pause pause;
 
     /**
+     * @param reachable whether an owner is worth a try; nothing is passed to one that is silent
      * @param random values in [0, 1), spreads the looks for a new owner
      * @param pause waits between two looks for an owner
      */
     public RequestRouter(
             PartitionDirectory directory,
+            Predicate<OwnerLocation> reachable,
             OwnerLink link,
             LongSupplier clockNs,
             DoubleSupplier random,
             Pause pause) {
         this.directory = directory;
+        this.reachable = reachable;
         this.link = link;
         this.clockNs = clockNs;
         this.random = random;
@@ -100,7 +105,7 @@
         long giveUpNs = clockNs.getAsLong() + TimeUnit.MILLISECONDS.toNanos(OWNER_PATIENCE_MS);
         while (clockNs.getAsLong() < giveUpNs) {
             Optional<OwnerLocation> owner = directory.ownerOf(partition);
-            if (owner.isPresent()) {
+            if (owner.isPresent() && reachable.test(owner.get())) {
                 long passedNs = clockNs.getAsLong();
                 Pass pass = pass(owner.get(), request, merger);
                 if (pass == Pass.ENDED || pass == Pass.LEFT) {
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
@@ -43,7 +43,6 @@
 import org.skylarkmast.daemon.telemetry.Tracing;
 import org.skylarkmast.http.HttpClient;
 import org.skylarkmast.http.HttpServer;
-import org.skylarkmast.rpc.peer.PeerProto.HeartbeatReply;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -68,6 +67,7 @@
     private final AtomicReference<ConfigurationExchange> configurationExchange =
             new AtomicReference<>();
     private final AtomicReference<OwnershipParts> parts = new AtomicReference<>();
+    private final AtomicReference<MembershipParts> membership = new AtomicReference<>();
     private final AtomicBoolean draining = new AtomicBoolean();
     private final AtomicBoolean degraded = new AtomicBoolean();
     private final Server peerServer;
@@ -117,8 +117,18 @@
                         new WaiterTable(),
                         System::nanoTime,
                         Configuration.EMPTY));
+        membership.set(
+                new MembershipParts(
+                        settings,
+                        owned,
+                        channels,
+                        dispatch,
+                        loops,
+                        draining::get,
+                        this::configurationRevision));
         this.configuration = startConfiguration();
         owned.ownership.start(registry.get());
+        membership.get().start(client, loops);
         startTicks();
         observeGauges();
         this.callersServer = startCallersServer();
@@ -193,7 +203,7 @@
         HostPort address = HostPort.parse(settings.addresses().peers());
         PeerService.Exchanges exchanges =
                 new PeerService.Exchanges(
-                        request -> HeartbeatReply.getDefaultInstance(),
+                        request -> membership.get().answer(request),
                         request -> parts.get().copies.store(request),
                         request -> parts.get().copies.fetch(request),
                         request -> configurationExchange.get().fetch(request));
@@ -226,6 +236,7 @@
         parts.set(owned);
         keeper.get().addListener(dispatch::configurationChanged);
         keeper.get().addListener(registry.get()::configurationChanged);
+        keeper.get().addListener(membership.get()::configurationChanged);
         keeper.get().start();
         return keeper.get();
     }
@@ -260,6 +271,7 @@
         RequestRouter router =
                 new RequestRouter(
                         owned.ownership,
+                        membership.get()::reachable,
                         new OwnerCalls(settings.node().name(), registry.get(), channels, tracing),
                         System::nanoTime,
                         ThreadLocalRandom.current()::nextDouble,
@@ -314,6 +326,10 @@
                 address.host(), address.port(), settings.limits().maxBodyBytes(), handler);
     }
 
+    private long configurationRevision() {
+        return configuration == null ? 0 : configuration.current().revision();
+    }
+
     private Optional<String> notReadyReason() {
         if (draining.get()) {
             return Optional.of("leaving");
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Loops.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Loops.java
@@ -20,6 +20,7 @@
     final ThreadEventLoop ownership;
     final ThreadEventLoop journal;
     final ThreadEventLoop scheduler;
+    final ThreadEventLoop membership;
     final List<ThreadEventLoop> partitions = new ArrayList<>();
     final ExecutorService blocking = Executors.newVirtualThreadPerTaskExecutor();
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
@@ -31,6 +32,7 @@
         ownership = new ThreadEventLoop("ownership", onBrokenInvariant);
         journal = new ThreadEventLoop("journal", onBrokenInvariant);
         scheduler = new ThreadEventLoop("scheduler", onBrokenInvariant);
+        membership = new ThreadEventLoop("membership", onBrokenInvariant);
         for (int i = 0; i < PARTITION_LOOPS; i++) {
             partitions.add(new ThreadEventLoop("partitions-" + i, onBrokenInvariant));
         }
@@ -50,6 +52,7 @@
     public void close() {
         timer.shutdownNow();
         blocking.shutdownNow();
+        membership.close();
         scheduler.close();
         journal.close();
         ownership.close();
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/entry/RequestRouterTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/entry/RequestRouterTest.java
@@ -132,7 +132,7 @@
                     public void refresh(int partition) {}
                 };
         return new RequestRouter(
-                directory, link, nowNs::get, () -> 0, ms -> nowNs.addAndGet(ms * NS_PER_MS));
+                directory, owner -> true, link, nowNs::get, () -> 0, ms -> nowNs.addAndGet(ms * NS_PER_MS));
     }
 
     private static void tell(Object reply, Consumer<CallerEvent> events, Consumer<String> gone) {
