--- a/skylarkmast-core/src/test/java/org/skylarkmast/core/program/PartitionMachineTest.java
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/program/PartitionMachineTest.java
@@ -143,6 +143,17 @@
         assertThat(fixture.finalEvent(again) != null).isEqualTo(failure.mayHaveRun());
     }
 
+    @Test
+    void remembersThatAnEarlierAttemptMayHaveRun() {
+        long waiter = fixture.ask(JOB, "k1", PartitionFixture.order("/prices"));
+        long callId = fixture.dispatch();
+        fixture.feed(new ProgramEvent.AttemptFailed(callId, CallFailure.BROKEN));
+        fixture.feed(new ProgramEvent.Dispatched(callId, "parts-2", 2));
+        fixture.feed(new ProgramEvent.AttemptFailed(callId, CallFailure.BUSY));
+        fixture.feed(new ProgramEvent.CallGivenUp(callId, CallFailure.BUSY, 1_000));
+        assertThat(fixture.refusal(waiter).execution()).isEqualTo(Execution.UNKNOWN);
+    }
+
     @Test
     void cutsACallUnderWayAsUnknown() {
         long waiter = fixture.ask(JOB, "k1", PartitionFixture.order("/orders"));
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/MembershipParts.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/MembershipParts.java
@@ -171,8 +171,7 @@
         for (Target target : configuration.targets().values()) {
             for (Target.Runner runner : target.runners()) {
                 if (runner.address().equals(address)) {
-                    dispatch.toScheduler(
-                            new SchedulingEvent.RunnerLeaving(runner.name(), leaving));
+                    dispatch.toScheduler(new SchedulingEvent.RunnerLeaving(runner.name(), leaving));
                 }
             }
         }
@@ -181,8 +180,7 @@
     private List<PeerLoad> ownLoad() {
         CompletableFuture<List<PeerLoad>> load = new CompletableFuture<>();
         dispatch.ask(scheduler -> load.complete(scheduler.ownLoad()));
-        return load.completeOnTimeout(List.of(), OWN_LOAD_TIMEOUT_MS, TimeUnit.MILLISECONDS)
-                .join();
+        return load.completeOnTimeout(List.of(), OWN_LOAD_TIMEOUT_MS, TimeUnit.MILLISECONDS).join();
     }
 
     private static PeerProto.RunnerLoad toMessage(PeerLoad load) {
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/entry/RequestRouterTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/entry/RequestRouterTest.java
@@ -132,7 +132,12 @@
                     public void refresh(int partition) {}
                 };
         return new RequestRouter(
-                directory, owner -> true, link, nowNs::get, () -> 0, ms -> nowNs.addAndGet(ms * NS_PER_MS));
+                directory,
+                owner -> true,
+                link,
+                nowNs::get,
+                () -> 0,
+                ms -> nowNs.addAndGet(ms * NS_PER_MS));
     }
 
     private static void tell(Object reply, Consumer<CallerEvent> events, Consumer<String> gone) {
--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpServer.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpServer.java
@@ -68,6 +68,7 @@
                         .setSocketConfig(
                                 SocketConfig.custom()
                                         .setSoTimeout(Timeout.ofMilliseconds(IDLE_TIMEOUT_MS))
+                                        .setSoReuseAddress(true)
                                         .setTcpNoDelay(true)
                                         .build())
                         .setHttp1Config(limits())
