[http] Cut the connection when a stream's consumer stops reading

Cause: the client closed the body before the connection; HttpCore then reads the body to its end, so a consumer that stopped early hung on an endless stream (seen by thread dump: ChunkedInputStream.close under HttpClient.read, a test of the engine stand-in waiting for 9 minutes).

Change: the connection is closed first. Red seen: that hang, before the change.

--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
@@ -107,7 +107,7 @@
             executor.preProcess(message, processor, context);
             try (ClassicHttpResponse response = executor.execute(message, connection, context)) {
                 executor.postProcess(response, processor, context);
-                HttpOutcome outcome = read(response, consumer);
+                HttpOutcome outcome = read(response, consumer, connection);
                 reusable =
                         outcome instanceof HttpOutcome.Answered
                                 && executor.keepAlive(message, response, connection, context);
@@ -168,7 +168,10 @@
         return builder.build();
     }
 
-    private static HttpOutcome read(ClassicHttpResponse response, LineConsumer consumer)
+    private static HttpOutcome read(
+            ClassicHttpResponse response,
+            LineConsumer consumer,
+            DefaultBHttpClientConnection connection)
             throws IOException {
         Map<String, String> headers = new HashMap<>();
         for (Header header : response.getHeaders()) {
@@ -185,6 +188,8 @@
                     new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8));
             for (String line = reader.readLine(); line != null; line = reader.readLine()) {
                 if (!consumer.onLine(line)) {
+                    // Closing the body first would read it to its end, which may never come.
+                    connection.close(CloseMode.IMMEDIATE);
                     return new HttpOutcome.Broken("consumer stopped reading");
                 }
             }
--- a/skylarkmast-http/src/test/java/org/skylarkmast/http/HttpServerTest.java
+++ b/skylarkmast-http/src/test/java/org/skylarkmast/http/HttpServerTest.java
@@ -1,9 +1,11 @@
 package org.skylarkmast.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -67,6 +69,28 @@
         }
     }
 
+    @Test
+    void cutsAnEndlessBodyWhenTheConsumerStops() throws IOException {
+        HttpReply.StreamBody endless =
+                out -> {
+                    while (true) {
+                        out.write(bytes("a\n"));
+                        out.flush();
+                    }
+                };
+        try (HttpServer server = start(call -> streamed(endless))) {
+            HttpOutcome outcome =
+                    assertTimeoutPreemptively(
+                            Duration.ofSeconds(60),
+                            () ->
+                                    client.stream(
+                                            HttpSend.get(address(server), "/", TIMEOUT_MS),
+                                            new AbortSignal(),
+                                            line -> false));
+            assertThat(outcome).isInstanceOf(HttpOutcome.Broken.class);
+        }
+    }
+
     @Test
     void refusesABodyOverTheLimitAndStaysUp() throws IOException {
         try (HttpServer server = start(call -> HttpReply.text(200, "ok"))) {
