[standins] Add the engine, service and host list as processes

Cause: the whole path needs targets and a host list to run against.

The engine streams token by token at a set pace, shares decoding above a batch of 8, keeps prompts per program as LRU, resumes streams for 30 s, tells cache events late and with gaps, and takes orders. Its answer follows from all messages of the prompt, so lost or mixed history shows (Prompt.mark). The service runs every call it takes and records it before it answers.

--- /dev/null
+++ b/skylarkmast-standins/src/main/java/org/skylarkmast/standins/engine/BatchSlots.java
@@ -0,0 +1,66 @@
+package org.skylarkmast.standins.engine;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** The places in an engine's batch, given by priority and then by arrival; thread-safe. */
+final class BatchSlots {
+    private final int maxRunning;
+    private final int maxWaiting;
+    private final PriorityQueue<Ticket> queue =
+            new PriorityQueue<>(
+                    Comparator.comparingInt((Ticket ticket) -> -ticket.priority())
+                            .thenComparingLong(Ticket::arrival));
+
+    private long arrivals;
+    private int running;
+
+    /** A place in the queue. */
+    record Ticket(int priority, long arrival) {}
+
+    BatchSlots(int maxRunning, int maxWaiting) {
+        this.maxRunning = maxRunning;
+        this.maxWaiting = maxWaiting;
+    }
+
+    /** Queues a call; null if the queue is full. */
+    synchronized Ticket enter(int priority) {
+        if (running + queue.size() >= maxRunning + maxWaiting) {
+            return null;
+        }
+        Ticket ticket = new Ticket(priority, ++arrivals);
+        queue.add(ticket);
+        notifyAll();
+        return ticket;
+    }
+
+    /**
+     * Waits for the ticket's turn.
+     *
+     * @throws InterruptedException if interrupted while waiting; the ticket is then void
+     */
+    synchronized void awaitTurn(Ticket ticket) throws InterruptedException {
+        try {
+            while (running >= maxRunning || !ticket.equals(queue.peek())) {
+                wait();
+            }
+        } finally {
+            queue.remove(ticket);
+        }
+        running++;
+        notifyAll();
+    }
+
+    synchronized void leave() {
+        running--;
+        notifyAll();
+    }
+
+    synchronized int running() {
+        return running;
+    }
+
+    synchronized int waiting() {
+        return queue.size();
+    }
+}
