--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/configuration/ConfigurationKeeper.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/configuration/ConfigurationKeeper.java
@@ -82,8 +82,7 @@
 
     /** Reads the data folder, then the key-value service or peers once, and goes on following. */
     public void start() {
-        file.flatMap(ConfigurationFile::load).ifPresent(stored -> accept(stored, "data_folder"));
-        poll(true);
+        readOnce();
         loop = Thread.ofVirtual().name("configuration-keeper").start(this::follow);
     }
 
@@ -124,6 +123,12 @@
         followed.watch.close();
     }
 
+    /** Reads what there is at the start. */
+    void readOnce() {
+        file.flatMap(ConfigurationFile::load).ifPresent(stored -> accept(stored, "data_folder"));
+        poll(true);
+    }
+
     /**
      * Reads the head and what is new; asks peers if that fails; sees to the watch.
      *
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/configuration/FakeStore.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/configuration/FakeStore.java
@@ -34,6 +34,9 @@
     /** Commits that are lost before they take effect. */
     int loseRequests;
 
+    /** Told of every write of the head, whatever becomes of its answer. */
+    Consumer<StoreEntry> headWritten = entry -> {};
+
     /** Runs once, before the next commit is decided. */
     Runnable beforeCommit = () -> {};
 
@@ -90,8 +93,8 @@
                     bytes += put.value().length;
                     StoreEntry entry = new StoreEntry(put.key(), put.value(), 0, revision, 0);
                     entries.put(put.key(), entry);
-                    if (!watchesSilent && put.key().endsWith("head")) {
-                        List.copyOf(watchers).forEach(w -> w.accept(new WatchEvent.Written(entry)));
+                    if (put.key().endsWith("head")) {
+                        tellOfHead(entry);
                     }
                 }
                 case Write.Delete delete -> entries.remove(delete.key());
@@ -102,6 +105,13 @@
         largestCommitBytes = Math.max(largestCommitBytes, bytes);
     }
 
+    private void tellOfHead(StoreEntry entry) {
+        headWritten.accept(entry);
+        if (!watchesSilent) {
+            List.copyOf(watchers).forEach(w -> w.accept(new WatchEvent.Written(entry)));
+        }
+    }
+
     @Override
     public synchronized Watch watch(
             String fromKey, String toKey, long fromRevision, Consumer<WatchEvent> listener) {
