--- /dev/null
+++ b/skylarkmast-bench/src/test/java/org/skylarkmast/bench/decision/DecisionBoundsTest.java
@@ -0,0 +1,124 @@
+package org.skylarkmast.bench.decision;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The targets stated for the decisions; each figure is the median over the seeds. */
+class DecisionBoundsTest {
+    private static final double PEAK_SHARE_AT_OVERLOAD = 0.9;
+    private static final double FIRST_TOKEN_OVERHEAD_MS = 470;
+    private static final double OVERLOAD_FACTOR = 2 / 0.7;
+    private static final double[] FACTORS_AROUND_CAPACITY = {1.2, 1.43, 1.8};
+
+    @ParameterizedTest
+    @ValueSource(strings = {"workshops", "consortium"})
+    void latencyBeatsRoundRobin(String profile) {
+        double improvement =
+                BenchBounds.improvement(
+                        profile, Fault.Kind.NONE, BenchBounds.ROUND_ROBIN, RunResult::programP95Ms);
+        assertThat(improvement).isAtLeast(1.5);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"workshops", "consortium"})
+    void latencyBeatsLeastLoaded(String profile) {
+        double improvement =
+                BenchBounds.improvement(
+                        profile,
+                        Fault.Kind.NONE,
+                        BenchBounds.LEAST_LOADED,
+                        RunResult::programP95Ms);
+        assertThat(improvement).isAtLeast(1.2);
+    }
+
+    @ParameterizedTest(name = "{0}, {1}")
+    @CsvSource({
+        "workshops, RUNNER_DIES",
+        "workshops, RUNNER_SLOWS",
+        "workshops, RUNNER_LIES",
+        "workshops, CACHE_RESTART",
+        "workshops, DOMAIN_GOES",
+        "consortium, RUNNER_DIES",
+        "consortium, RUNNER_SLOWS",
+        "consortium, RUNNER_LIES",
+        "consortium, CACHE_RESTART",
+        "consortium, DOMAIN_GOES"
+    })
+    void latencyUnderFaultsBeatsRoundRobinTwofold(String profile, Fault.Kind fault) {
+        double improvement =
+                BenchBounds.improvement(
+                        profile, fault, BenchBounds.ROUND_ROBIN, RunResult::programP95Ms);
+        assertThat(improvement).isAtLeast(2.0);
+    }
+
+    @Test
+    void wastedPrefillIsAThirdOfRoundRobinsOnConsortium() {
+        double improvement =
+                BenchBounds.improvement(
+                        "consortium",
+                        Fault.Kind.NONE,
+                        BenchBounds.ROUND_ROBIN,
+                        RunResult::wastedShare);
+        assertThat(improvement).isAtLeast(3.0);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"workshops", "consortium"})
+    void goodputHoldsAtTwofoldOverload(String profile) {
+        double peak = 0;
+        for (double factor : FACTORS_AROUND_CAPACITY) {
+            double goodput = BenchBounds.steady(profile, factor).median(RunResult::goodputPerS);
+            peak = Math.max(peak, goodput);
+        }
+        double atOverload =
+                BenchBounds.steady(profile, OVERLOAD_FACTOR).median(RunResult::goodputPerS);
+        assertThat(atOverload).isAtLeast(PEAK_SHARE_AT_OVERLOAD * peak);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"workshops", "consortium"})
+    void noAdmittedProgramIsLateAtTwofoldOverload(String profile) {
+        for (RunResult result : BenchBounds.steady(profile, OVERLOAD_FACTOR).results()) {
+            assertThat(result.late() + result.failed()).isEqualTo(0);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"workshops", "consortium"})
+    void firstTokenIsHardlyLaterThanTheEnginesOwn(String profile) {
+        BenchRuns.Series atSeventyPercent = BenchBounds.steady(profile, 1);
+        double overheadMs =
+                atSeventyPercent.median(
+                        result -> result.firstTokenP95Ms() - result.engineFirstTokenP95Ms());
+        assertThat(overheadMs).isAtMost(FIRST_TOKEN_OVERHEAD_MS);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"workshops", "consortium"})
+    void holdsNoCacheForEndedPrograms(String profile) {
+        BenchRuns.Series series =
+                BenchBounds.series(profile, Fault.Kind.DOMAIN_GOES, BenchBounds.PRODUCT);
+        for (RunResult result : series.results()) {
+            assertThat(result.leakedTokens()).isEqualTo(0);
+        }
+    }
+
+    @Test
+    void isExactOnASeed() {
+        RunResult first = runOnce();
+        assertThat(runOnce()).isEqualTo(first);
+    }
+
+    private static RunResult runOnce() {
+        return new Simulation(
+                        LoadProfile.workshops(),
+                        Fault.Kind.RUNNER_SLOWS,
+                        11,
+                        BenchBounds.PRODUCT.factory(11))
+                .run();
+    }
+}
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/Admission.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/Admission.java
@@ -57,7 +57,14 @@
             return false;
         }
         int ahead = call.pool.queue.ahead(call.submission.priorityLevel());
-        return call.pool.predictedWaitNs(ahead) > maxWaitNs;
+        double allowedNs = settings.newProgramWaitShare() * maxWaitNs;
+        boolean refused =
+                call.pool.recentWaitNs() > allowedNs
+                        || call.pool.predictedWaitNs(ahead) > maxWaitNs;
+        if (refused) {
+            call.pool.onNewProgramRefused();
+        }
+        return refused;
     }
 
     /** Whether one more call of the workspace may be under way. */
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/CallScheduler.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/CallScheduler.java
@@ -137,13 +137,9 @@
                         root.rank(settings, nowNs)));
     }
 
-    private void dequeue(PendingCall call, long nowNs) {
+    private void dequeue(PendingCall call) {
         call.pool.queue.remove(call.submission.callId());
         admission.onDequeued(call.submission.program().workspace());
-        RootProgram root = caches.root(call.submission.program());
-        if (root != null) {
-            root.waitedNs += nowNs - call.queuedAtNs;
-        }
     }
 
     private void drainAll(long nowNs) {
@@ -171,7 +167,7 @@
 
     private void dispatch(PendingCall call, RunnerState runner, long nowNs) {
         CallSubmission submission = call.submission;
-        dequeue(call, nowNs);
+        dequeue(call);
         chooser.predict(call, runner, nowNs);
         call.attempts++;
         call.runner = runner;
@@ -183,6 +179,11 @@
             call.pool.retryBudget.earn();
         }
         call.pool.onDispatch(nowNs);
+        if (call.newProgram) {
+            call.pool.onNewProgramAdmitted(nowNs);
+        } else {
+            call.pool.onUnderWayWait(nowNs - call.queuedAtNs);
+        }
         call.pool.queue.charge(
                 submission.program().workspace(),
                 call.expectedUncachedTokens + call.expectedOutputTokens + 1);
@@ -209,6 +210,7 @@
         call.firstOutputAtNs = nowNs;
         call.runner.endPrefill(call.expectedUncachedTokens);
         call.runner.speed().observePrefill(call.prefillTokensAhead, nowNs - call.sentAtNs);
+        call.pool.onRunnerWait(call.shareOfOthers() * (nowNs - call.sentAtNs));
     }
 
     private void succeed(SchedulingEvent.Succeeded event, long nowNs) {
@@ -325,7 +327,7 @@
             cancel(call, nowNs);
             call.runner.breaker().onInconclusive();
         } else {
-            dequeue(call, nowNs);
+            dequeue(call);
         }
         forget(call);
         drainAll(nowNs);
@@ -373,7 +375,7 @@
     }
 
     private void endQueued(PendingCall call, RefusalReason reason, long nowNs) {
-        dequeue(call, nowNs);
+        dequeue(call);
         end(call, call.ambiguousFailure, reason, nowNs);
     }
 
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/DestinationPool.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/DestinationPool.java
@@ -28,6 +28,11 @@
     private double dispatchIntervalNs;
     private long lastDispatchNs = Long.MIN_VALUE;
     private double meanPrefillTokenNs;
+    private double underWayWaitNs;
+    private double runnerWaitNs;
+    private double refusedCallers;
+    private double admissionIntervalNs = INITIAL_CALL_NS;
+    private long lastAdmissionNs = Long.MIN_VALUE;
 
     DestinationPool(
             Destination destination,
@@ -75,6 +80,41 @@
         lastDispatchNs = nowNs;
     }
 
+    /** Notes how long a call of a program under way waited. */
+    void onUnderWayWait(long waitedNs) {
+        underWayWaitNs += SHARE * (waitedNs - underWayWaitNs);
+    }
+
+    /** Notes how long a call waited inside its runner while others' prompts were worked on. */
+    void onRunnerWait(double waitedNs) {
+        runnerWaitNs += SHARE * (waitedNs - runnerWaitNs);
+    }
+
+    /** Recent wait of calls of programs under way, here and inside the runners, in nanoseconds. */
+    double recentWaitNs() {
+        return underWayWaitNs + runnerWaitNs;
+    }
+
+    /** Notes that a new program was sent away, to come back later. */
+    void onNewProgramRefused() {
+        refusedCallers++;
+    }
+
+    /** Notes that a new program's first call was sent to a runner. */
+    void onNewProgramAdmitted(long nowNs) {
+        refusedCallers = Math.max(0, refusedCallers - 1);
+        if (lastAdmissionNs != Long.MIN_VALUE) {
+            double intervalNs = nowNs - lastAdmissionNs;
+            admissionIntervalNs += SHARE * (intervalNs - admissionIntervalNs);
+        }
+        lastAdmissionNs = nowNs;
+    }
+
+    /** Time in which those sent away before should be admitted, in nanoseconds. */
+    double returnNs() {
+        return refusedCallers * admissionIntervalNs;
+    }
+
     void onSuccess(int newOutputTokens, long elapsedNs) {
         outputTokens += SHARE * (newOutputTokens - outputTokens);
         callNs += SHARE * (elapsedNs - callNs);
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/Mechanism.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/Mechanism.java
@@ -20,12 +20,8 @@
     ADAPTIVE_LIMIT,
     /** Puts calls of programs that got much service behind others. */
     ATTAINED_SERVICE,
-    /** Credits a program for the time its earlier calls waited. */
-    AGEING,
     /** Refuses new programs as soon as their predicted wait is too long. */
     EARLY_REFUSAL,
-    /** Puts calls of programs under way before those of new ones. */
-    PROGRAMS_UNDER_WAY_FIRST,
     /** Ejects runners that fail and probes them later. */
     CIRCUIT_BREAKER,
     /** Avoids runners whose answers are overdue. */
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/PendingCall.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/PendingCall.java
@@ -35,6 +35,11 @@
         this.queuedAtNs = queuedAtNs;
     }
 
+    /** Share of the prompt tokens worked on until its first answer token that were others'. */
+    double shareOfOthers() {
+        return prefillTokensAhead <= 0 ? 0 : 1 - expectedUncachedTokens / prefillTokensAhead;
+    }
+
     boolean isModelCall() {
         return submission.destination() instanceof Destination.ModelDestination;
     }
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/RetryAfter.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/RetryAfter.java
@@ -4,7 +4,7 @@
 
 /** Computes when a refused caller should come back; spread out, so that they do not all at once. */
 final class RetryAfter {
-    private static final double MIN_MS = 200;
+    private static final double MIN_MS = 500;
     private static final double MAX_MS = 60_000;
     private static final double UNKNOWN_MS = 5_000;
     private static final double SPREAD = 0.5;
@@ -23,6 +23,7 @@
             return unknownMs();
         }
         double waitNs = Math.max((double) unavailableNs, pool.predictedWaitNs(pool.queue.size()));
+        waitNs = Math.max(waitNs, pool.returnNs());
         return spread(waitNs / NS_PER_MS);
     }
 
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/SchedulerSettings.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/SchedulerSettings.java
@@ -13,9 +13,8 @@
  * @param beliefHalfLifeMs time after which half of an unconfirmed belief in a cached prefix is left
  * @param attainedServiceWeight time a call is set back in the queue for each unit of service time
  *     its root program got, at least 0
- * @param ageingWeight time a call is set forward for each unit of time its root program waited, at
- *     least 0
- * @param underWayBonusMs time by which calls of programs under way go before those of new ones
+ * @param newProgramWaitShare wait of calls of programs under way, as a share of the longest wait,
+ *     from which new programs are refused; above 0
  * @param sampledRunners runners looked at for one call, beside those that hold its prefix, where a
  *     destination has more than {@link #MAX_SCANNED_RUNNERS}
  * @param mechanisms parts of the policy that are in use
@@ -27,8 +26,7 @@
         double maxSavedRetries,
         long beliefHalfLifeMs,
         double attainedServiceWeight,
-        double ageingWeight,
-        long underWayBonusMs,
+        double newProgramWaitShare,
         int sampledRunners,
         Set<Mechanism> mechanisms) {
 
@@ -42,7 +40,7 @@
     /** The settings of a deployment that states none. */
     public static SchedulerSettings defaults() {
         return new SchedulerSettings(
-                2_000, 5, 0.2, 50, 300_000, 0.5, 0.5, 2_000, 8, EnumSet.allOf(Mechanism.class));
+                2_000, 5, 0.2, 50, 3_600_000, 0.5, 0.06, 8, EnumSet.allOf(Mechanism.class));
     }
 
     /** These settings without one mechanism. */
@@ -57,8 +55,7 @@
                 maxSavedRetries,
                 beliefHalfLifeMs,
                 attainedServiceWeight,
-                ageingWeight,
-                underWayBonusMs,
+                newProgramWaitShare,
                 sampledRunners,
                 rest);
     }
--- /dev/null
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/scheduling/CallSchedulerPropertyTest.java
@@ -0,0 +1,171 @@
+package org.skylarkmast.core.scheduling;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.skylarkmast.core.key.ProgramKey;
+
+class CallSchedulerPropertyTest {
+    private static final int STEPS = 400;
+    private static final int RUNNERS = 3;
+
+    @Property(tries = 200, seed = "20261203")
+    void everyCallEndsOnceAndTruthfully(@ForAll long seed) {
+        RandomRun run = new RandomRun(new Random(seed));
+        for (int step = 0; step < STEPS; step++) {
+            run.step();
+        }
+        run.finish();
+
+        assertThat(run.inFlight).isEmpty();
+        assertThat(run.ended).containsExactlyElementsIn(run.submitted);
+        assertThat(run.fixture.scheduler.queued()).isEqualTo(0);
+        assertThat(run.fixture.scheduler.ownLoad()).isEmpty();
+        assertThat(run.fixture.scheduler.pendingReleases()).isEqualTo(0);
+    }
+
+    /** Feeds random events and checks each action against what happened to its call before. */
+    private static final class RandomRun {
+        private final Random random;
+        private final SchedulerFixture fixture = new SchedulerFixture(RUNNERS, 2);
+        private final Set<Long> submitted = new HashSet<>();
+        private final Set<Long> ended = new HashSet<>();
+        private final Set<Long> mayHaveRun = new HashSet<>();
+        private final Map<Long, String> inFlight = new HashMap<>();
+        private final Set<String> leaving = new HashSet<>();
+
+        private RandomRun(Random random) {
+            this.random = random;
+        }
+
+        private void step() {
+            fixture.nowNs += random.nextInt(300) * SchedulerFixture.MS;
+            switch (random.nextInt(9)) {
+                case 0, 1, 2 -> submit();
+                case 3 -> succeedOne();
+                case 4 -> failOne();
+                case 5 -> check(fixture.on(new SchedulingEvent.Tick()));
+                case 6 -> toggleLeaving();
+                case 7 -> answerLate();
+                default -> withdrawOrEnd();
+            }
+        }
+
+        private void submit() {
+            long callId = submitted.size();
+            submitted.add(callId);
+            ProgramKey program = new ProgramKey("one", "p" + random.nextInt(10));
+            check(fixture.submit(callId, program, callId % 2 == 0, random.nextInt(3)));
+        }
+
+        private void succeedOne() {
+            for (long callId : pick()) {
+                inFlight.remove(callId);
+                end(callId);
+                check(fixture.succeed(callId));
+                check(fixture.succeed(callId));
+            }
+        }
+
+        private void failOne() {
+            CallFailure[] failures = CallFailure.values();
+            for (long callId : pick()) {
+                CallFailure failure = failures[random.nextInt(failures.length)];
+                inFlight.remove(callId);
+                if (failure.mayHaveRun()) {
+                    mayHaveRun.add(callId);
+                }
+                check(fixture.fail(callId, failure));
+            }
+        }
+
+        /** Tells a late answer of a call that is not under way; it must have no effect. */
+        private void answerLate() {
+            if (!submitted.isEmpty()) {
+                long callId = random.nextInt(submitted.size());
+                if (!inFlight.containsKey(callId)) {
+                    assertThat(fixture.succeed(callId)).isEmpty();
+                }
+            }
+        }
+
+        private void toggleLeaving() {
+            String runner = "r" + random.nextInt(RUNNERS);
+            boolean nowLeaving = leaving.add(runner) || !leaving.remove(runner);
+            check(fixture.on(new SchedulingEvent.RunnerLeaving(runner, nowLeaving)));
+        }
+
+        private void withdrawOrEnd() {
+            if (random.nextBoolean()) {
+                ProgramKey program = new ProgramKey("one", "p" + random.nextInt(10));
+                check(fixture.on(new SchedulingEvent.ProgramEnded(program)));
+                return;
+            }
+            for (long callId : pick()) {
+                inFlight.remove(callId);
+                end(callId);
+                check(fixture.on(new SchedulingEvent.Withdrawn(callId)));
+            }
+        }
+
+        private List<Long> pick() {
+            List<Long> ids = new ArrayList<>(inFlight.keySet());
+            return ids.isEmpty() ? List.of() : List.of(ids.get(random.nextInt(ids.size())));
+        }
+
+        private void finish() {
+            check(fixture.tickAfter(120_000));
+            for (int i = 0; i < RUNNERS; i++) {
+                check(fixture.on(new SchedulingEvent.RunnerRestarted("r" + i)));
+            }
+        }
+
+        private void end(long callId) {
+            assertWithMessage("call %s ends once", callId).that(ended.add(callId)).isTrue();
+        }
+
+        private void check(List<SchedulingAction> actions) {
+            for (SchedulingAction action : actions) {
+                switch (action) {
+                    case SchedulingAction.Dispatch dispatch -> checkDispatch(dispatch);
+                    case SchedulingAction.Refuse refuse -> {
+                        assertThat(refuse.retryAfterMs()).isGreaterThan(0);
+                        assertThat(mayHaveRun).doesNotContain(refuse.callId());
+                        assertThat(inFlight).doesNotContainKey(refuse.callId());
+                        end(refuse.callId());
+                    }
+                    case SchedulingAction.GiveUp giveUp -> {
+                        assertThat(giveUp.retryAfterMs()).isGreaterThan(0);
+                        assertThat(giveUp.lastFailure().mayHaveRun())
+                                .isEqualTo(mayHaveRun.contains(giveUp.callId()));
+                        assertThat(inFlight).doesNotContainKey(giveUp.callId());
+                        end(giveUp.callId());
+                    }
+                    case SchedulingAction.CancelAttempt cancel -> {
+                        inFlight.remove(cancel.callId());
+                        mayHaveRun.add(cancel.callId());
+                    }
+                    case SchedulingAction.ReleaseCache release -> {}
+                    case SchedulingAction.MoveCache move -> {}
+                }
+            }
+        }
+
+        private void checkDispatch(SchedulingAction.Dispatch dispatch) {
+            long callId = dispatch.callId();
+            assertThat(leaving).doesNotContain(dispatch.runner());
+            assertThat(ended).doesNotContain(callId);
+            assertThat(callId % 2 != 0 && mayHaveRun.contains(callId)).isFalse();
+            assertThat(inFlight.put(callId, dispatch.runner())).isNull();
+        }
+    }
+}
