--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/decision/DecisionBench.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/decision/DecisionBench.java
@@ -102,8 +102,11 @@
     }
 
     private void runAblation(List<LoadProfile> profiles) {
+        List<Policy> policies = new ArrayList<>(List.of(Policy.Product.whole()));
         for (Mechanism mechanism : Mechanism.values()) {
-            Policy policy = Policy.Product.lacking(mechanism);
+            policies.add(Policy.Product.lacking(mechanism));
+        }
+        for (Policy policy : policies) {
             for (LoadProfile profile : profiles) {
                 add(BenchRuns.run(profile, Fault.Kind.NONE, policy, seeds));
                 add(BenchRuns.run(profile, Fault.Kind.RUNNER_SLOWS, policy, seeds));
--- a/skylarkmast-bench/src/test/java/org/skylarkmast/bench/decision/DecisionBoundsTest.java
+++ b/skylarkmast-bench/src/test/java/org/skylarkmast/bench/decision/DecisionBoundsTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -55,6 +56,37 @@
         assertThat(improvement).isAtLeast(2.0);
     }
 
+    @ParameterizedTest(name = "{0}, {1}")
+    @CsvSource({
+        "workshops, RUNNER_LIES",
+        "consortium, RUNNER_DIES",
+        "consortium, RUNNER_SLOWS",
+        "consortium, RUNNER_LIES",
+        "consortium, CACHE_RESTART",
+        "consortium, DOMAIN_GOES"
+    })
+    void latencyUnderFaultsBeatsLeastLoadedTwofold(String profile, Fault.Kind fault) {
+        assertThat(improvementOnLeastLoaded(profile, fault)).isAtLeast(2.0);
+    }
+
+    /** Cases that miss the bound so far; see KNOWN-RED.txt. */
+    @Tag("known-red")
+    @ParameterizedTest(name = "{0}, {1}")
+    @CsvSource({
+        "workshops, RUNNER_DIES",
+        "workshops, RUNNER_SLOWS",
+        "workshops, CACHE_RESTART",
+        "workshops, DOMAIN_GOES"
+    })
+    void latencyUnderOtherFaultsBeatsLeastLoadedTwofold(String profile, Fault.Kind fault) {
+        assertThat(improvementOnLeastLoaded(profile, fault)).isAtLeast(2.0);
+    }
+
+    private static double improvementOnLeastLoaded(String profile, Fault.Kind fault) {
+        return BenchBounds.improvement(
+                profile, fault, BenchBounds.LEAST_LOADED, RunResult::programP95Ms);
+    }
+
     @Test
     void wastedPrefillIsAThirdOfRoundRobinsOnConsortium() {
         double improvement =
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/DestinationPool.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/DestinationPool.java
@@ -1,7 +1,9 @@
 package org.skylarkmast.core.scheduling;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import org.skylarkmast.core.scheduling.admission.CallQueue;
 import org.skylarkmast.core.scheduling.retry.RetryBudget;
@@ -23,6 +25,7 @@
     int liveCalls;
 
     private List<RunnerState> runners = List.of();
+    private Set<RunnerState> members = Set.of();
     private double outputTokens = INITIAL_OUTPUT_TOKENS;
     private double callNs = INITIAL_CALL_NS;
     private double dispatchIntervalNs;
@@ -47,8 +50,14 @@
         return runners;
     }
 
+    /** Whether the runner is one of this destination's. */
+    boolean has(RunnerState runner) {
+        return members.contains(runner);
+    }
+
     void setRunners(List<RunnerState> newRunners) {
         runners = new ArrayList<>(newRunners);
+        members = new HashSet<>(newRunners);
         refreshMeans();
     }
 
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/RunnerChooser.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/RunnerChooser.java
@@ -34,7 +34,7 @@
         } else {
             for (String holder : caches.holders(call.submission.program())) {
                 RunnerState runner = table.runner(holder);
-                if (runner != null && runners.contains(runner)) {
+                if (runner != null && call.pool.has(runner)) {
                     search.consider(runner);
                 }
             }
