--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/ownership/OwnershipService.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/ownership/OwnershipService.java
@@ -174,6 +174,9 @@
         List<OwnershipAction> actions = machine.on(event, nowNs.getAsLong());
         publish(event);
         actions.forEach(this::perform);
+        if (event instanceof OwnershipEvent.SessionGone(String incarnation)) {
+            sessionLoop.sessionGone(incarnation);
+        }
         boolean drained = whenDrained != null && machine.heldCount() == 0;
         if (drained) {
             Runnable done = whenDrained;
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/ownership/SessionLoop.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/ownership/SessionLoop.java
@@ -26,7 +26,9 @@
     private final Consumer<OwnershipEvent> events;
 
     private boolean closed;
+    private boolean underWay;
     private boolean markDraining;
+    private int steps;
 
     SessionLoop(
             NodeSession session,
@@ -56,14 +58,35 @@
                 });
     }
 
+    /** The key of {@code incarnation} was seen to be gone; a new session is opened at once. */
+    void sessionGone(String incarnation) {
+        if (!underWay && session.incarnation().filter(incarnation::equals).isPresent()) {
+            session.abandon();
+            step();
+        }
+    }
+
     void close() {
         closed = true;
     }
 
+    private void stepLater(long delayMs) {
+        int expected = steps;
+        loop.schedule(
+                () -> {
+                    if (steps == expected) {
+                        step();
+                    }
+                },
+                delayMs * NS_PER_MS);
+    }
+
     private void step() {
         if (closed) {
             return;
         }
+        steps++;
+        underWay = true;
         boolean wasOpen = session.incarnation().isPresent();
         boolean mark = markDraining;
         blocking.execute(
@@ -79,13 +102,14 @@
     }
 
     private void stepped(boolean wasOpen, NodeSession.SessionOutcome outcome) {
+        underWay = false;
         switch (outcome) {
             case NodeSession.SessionOutcome.Open(String incarnation) -> {
                 if (!wasOpen) {
                     log("session_opened", incarnation);
                     events.accept(new OwnershipEvent.SessionOpened(incarnation, session.record()));
                 }
-                loop.schedule(this::step, renewEveryMs * NS_PER_MS);
+                stepLater(renewEveryMs);
             }
             case NodeSession.SessionOutcome.Gone() -> {
                 log("session_gone", "");
@@ -94,7 +118,7 @@
             }
             case NodeSession.SessionOutcome.Unavailable(String reason) -> {
                 log("session_unavailable", reason);
-                loop.schedule(this::step, renewEveryMs * NS_PER_MS / RETRIES_PER_RENEWAL);
+                stepLater(renewEveryMs / RETRIES_PER_RENEWAL);
             }
         }
     }
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/ownership/OwnershipServiceTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/ownership/OwnershipServiceTest.java
@@ -84,6 +84,16 @@
         assertEachPartitionServedOnce();
     }
 
+    @Test
+    void lapseSeenByTheWatchIsRepairedBeforeTheNextRenewal() {
+        int partition = a.serving.first();
+        simulation.runMs(SimulatedNode.TTL_MS / 3);
+        store.expireLeases();
+        simulation.runMs(60);
+        assertThat(a.ownership.ownedHere(partition, simulation.nowNs())).isTrue();
+        assertThat(a.told).contains("reacquired " + partition);
+    }
+
     @Test
     void outageLeavesOwnersAndDirectoryAsTheyWere() {
         TreeSet<Integer> heldByA = new TreeSet<>(a.serving);
