--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/ownership/OwnershipServiceTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/ownership/OwnershipServiceTest.java
@@ -87,7 +87,7 @@
     @Test
     void lapseSeenByTheWatchIsRepairedBeforeTheNextRenewal() {
         int partition = a.serving.first();
-        simulation.runMs(SimulatedNode.TTL_MS / 3);
+        simulation.runMs(200);
         store.expireLeases();
         simulation.runMs(60);
         assertThat(a.ownership.ownedHere(partition, simulation.nowNs())).isTrue();
