[node] Leave at once when nobody could take over and nothing is under way

Cause: bin/demo hung in its cleanup (seen for 6 minutes, thread dump: Daemon.drain waiting for a hand-over): all three daemons left at once and the last had nobody to hand over to, so it waited out its grace. Now a leaving daemon stops waiting once no call and no request is under way and no live node could take over.

--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.UUID;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -52,6 +51,7 @@
     private static final long SCHEDULER_TICK_MS = 100;
     private static final long PARTITION_TICK_MS = 1_000;
     private static final long JOURNAL_LOOK_MS = 100;
+    private static final long DRAIN_LOOK_MS = 50;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final int MAX_IDLE_CONNECTIONS = 64;
 
@@ -61,6 +61,7 @@
     private final Tracing tracing;
     private final KeyValueStore store;
     private final Loops loops;
+    private final WaiterTable waiters = new WaiterTable();
     private final PeerChannels channels = new PeerChannels();
     private final HttpClient client = new HttpClient(MAX_IDLE_CONNECTIONS, CONNECT_TIMEOUT_MS);
     private final AtomicReference<PartitionRegistry> registry = new AtomicReference<>();
@@ -114,7 +115,7 @@
                         loops.partitionExecutors(),
                         owned.journal,
                         dispatch,
-                        new WaiterTable(),
+                        waiters,
                         System::nanoTime,
                         Configuration.EMPTY));
         membership.set(
@@ -159,26 +160,35 @@
             return;
         }
         log("drain_started");
-        CountDownLatch handedOver = new CountDownLatch(1);
+        AtomicBoolean handedOver = new AtomicBoolean();
         long deadlineNs =
-                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.limits().drainGraceMs());
-        try {
-            Thread.sleep(settings.limits().drainDelayMs());
-            owned.ownership.drain(handedOver::countDown);
-            boolean all = handedOver.await(deadlineNs - System.nanoTime(), TimeUnit.NANOSECONDS);
-            LOG.atInfo()
-                    .addKeyValue("event", "partitions_handed_over")
-                    .addKeyValue("all", all)
-                    .log();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+                System.nanoTime()
+                        + TimeUnit.MILLISECONDS.toNanos(settings.limits().drainGraceMs());
+        pauseMs(settings.limits().drainDelayMs());
+        owned.ownership.drain(() -> handedOver.set(true));
+        while (!handedOver.get() && !nothingToWaitFor() && System.nanoTime() < deadlineNs) {
+            pauseMs(DRAIN_LOOK_MS);
         }
+        LOG.atInfo()
+                .addKeyValue("event", "partitions_handed_over")
+                .addKeyValue("all", handedOver.get())
+                .log();
         long leftMs = TimeUnit.NANOSECONDS.toMillis(deadlineNs - System.nanoTime());
         callersServer.drain(Math.max(0, leftMs));
         close();
         log("drain_ended");
     }
 
+    /** Whether no call is under way and no other node could take a partition over. */
+    private boolean nothingToWaitFor() {
+        String own = settings.node().name();
+        boolean taker =
+                owned.session.leaseValidAt(System.nanoTime())
+                        && owned.ownership.sessions().values().stream()
+                                .anyMatch(node -> !node.node().equals(own) && !node.draining());
+        return !taker && callersServer.underWay() == 0 && waiters.size() == 0;
+    }
+
     @Override
     public void close() {
         callersServer.close();
