[engines] Read runners' reports and release caches until confirmed

Cause: the scheduler needs load reports and cache events, and no engine may hold memory for programs that are gone, also when the owner was killed before it released them.

EngineFeed polls each runner's metrics and follows engines' cache events from the last one taken; a changed start time is a restart, after which the events are read from the first. CacheReconciler asks engines what they hold and releases what the owning node finds gone in two reviews in a row; ProgramLiveness.NOT_OWNED must also be given while a partition is not yet replayed.

Not in this commit: orders to engines (EngineOrders), and the wiring of these classes into the daemon.

--- /dev/null
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/engine/LoadReport.java
@@ -0,0 +1,54 @@
+package org.skylarkmast.core.engine;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What a runner's metrics say of its load.
+ *
+ * @param startedAtMs wall-clock time at which the runner says it started
+ */
+public record LoadReport(
+        int running,
+        int waiting,
+        long cacheUsedTokens,
+        long cacheCapacityTokens,
+        long startedAtMs) {
+    private static final double MS_PER_SECOND = 1_000.0;
+
+    /** Reads a report from Prometheus text; empty if a metric is missing or malformed. */
+    public static Optional<LoadReport> parse(String text) {
+        Map<String, Double> values = new HashMap<>();
+        text.lines()
+                .filter(line -> !line.startsWith("#"))
+                .forEach(line -> readSample(line.strip(), values));
+        Double running = values.get("engine_requests_running");
+        Double waiting = values.get("engine_requests_waiting");
+        Double started = values.get("engine_start_time_seconds");
+        if (running == null || waiting == null || started == null) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new LoadReport(
+                        running.intValue(),
+                        waiting.intValue(),
+                        values.getOrDefault("engine_cache_used_tokens", 0.0).longValue(),
+                        values.getOrDefault("engine_cache_capacity_tokens", 0.0).longValue(),
+                        Math.round(started * MS_PER_SECOND)));
+    }
+
+    private static void readSample(String line, Map<String, Double> values) {
+        int space = line.lastIndexOf(' ');
+        if (space < 0) {
+            return;
+        }
+        int labels = line.indexOf('{');
+        String name = line.substring(0, labels < 0 ? space : labels).strip();
+        try {
+            values.put(name, Double.valueOf(line.substring(space + 1)));
+        } catch (NumberFormatException ignored) {
+            // A sample that is no number counts as missing.
+        }
+    }
+}
--- /dev/null
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/engine/ReleaseTrackerTest.java
@@ -0,0 +1,98 @@
+package org.skylarkmast.core.engine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.skylarkmast.core.engine.ReleaseTracker.Release;
+import org.skylarkmast.core.key.ProgramKey;
+
+class ReleaseTrackerTest {
+    private static final ProgramKey PROGRAM = new ProgramKey("ws", "p");
+    private static final Release RELEASE = new Release("e1", PROGRAM);
+
+    private final ReleaseTracker tracker = new ReleaseTracker();
+
+    @Test
+    void repeatsAReleaseUntilItIsConfirmed() {
+        tracker.request(RELEASE, 0);
+        assertThat(tracker.takeDue(0)).containsExactly(RELEASE);
+        assertThat(tracker.takeDue(ms(199))).isEmpty();
+        assertThat(tracker.takeDue(ms(200))).containsExactly(RELEASE);
+        assertThat(tracker.takeDue(ms(599))).isEmpty();
+        assertThat(tracker.takeDue(ms(600))).containsExactly(RELEASE);
+        assertThat(tracker.end(RELEASE)).isTrue();
+        assertThat(tracker.takeDue(ms(100_000))).isEmpty();
+    }
+
+    @Test
+    void endsReleasesOfARestartedRunnerOnly() {
+        Release other = new Release("e2", PROGRAM);
+        tracker.request(RELEASE, 0);
+        tracker.request(other, 0);
+        assertThat(tracker.endAll("e1")).containsExactly(RELEASE);
+        assertThat(tracker.takeDue(0)).containsExactly(other);
+    }
+
+    static Stream<Arguments> looks() {
+        return Stream.of(
+                Arguments.of(ProgramLiveness.GONE, ProgramLiveness.GONE, true),
+                Arguments.of(ProgramLiveness.GONE, ProgramLiveness.LIVE, false),
+                Arguments.of(ProgramLiveness.LIVE, ProgramLiveness.GONE, false),
+                Arguments.of(ProgramLiveness.NOT_OWNED, ProgramLiveness.GONE, false),
+                Arguments.of(ProgramLiveness.NOT_OWNED, ProgramLiveness.NOT_OWNED, false));
+    }
+
+    @ParameterizedTest(name = "{0}, then {1}: released {2}")
+    @MethodSource("looks")
+    void releasesAProgramFoundGoneTwiceInARow(
+            ProgramLiveness first, ProgramLiveness second, boolean released) {
+        HeldProgramReview review = new HeldProgramReview();
+        assertThat(review.review("e1", Set.of(PROGRAM), key -> first)).isEmpty();
+        assertThat(review.review("e2", Set.of(PROGRAM), key -> second)).isEmpty();
+        assertThat(review.review("e1", Set.of(PROGRAM), key -> second).contains(PROGRAM))
+                .isEqualTo(released);
+    }
+
+    @Test
+    void readsEventsAnewAfterARestart() {
+        FeedCursor cursor = new FeedCursor();
+        assertThat(cursor.onStartTime(10)).isFalse();
+        assertThat(cursor.onEvent(7)).isTrue();
+        assertThat(cursor.onEvent(7)).isFalse();
+        assertThat(cursor.onStartTime(10)).isFalse();
+        assertThat(cursor.onStartTime(11)).isTrue();
+        assertThat(cursor.lastSequence()).isEqualTo(0);
+        assertThat(cursor.onEvent(1)).isTrue();
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource({
+        "engine_requests_running 3, true",
+        "engine_requests_running{role=\"mixed\"} 3, true",
+        "engine_requests_running x, false",
+        "engine_requests_other 3, false"
+    })
+    void readsLoadReports(String running, boolean complete) {
+        String text =
+                "# HELP x\n"
+                        + running
+                        + "\nengine_requests_waiting 1\nengine_start_time_seconds 1.5\n";
+        assertThat(LoadReport.parse(text))
+                .isEqualTo(
+                        complete
+                                ? Optional.of(new LoadReport(3, 1, 0, 0, 1_500))
+                                : Optional.empty());
+    }
+
+    private static long ms(long value) {
+        return TimeUnit.MILLISECONDS.toNanos(value);
+    }
+}
--- /dev/null
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/engine/RunnerFeed.java
@@ -0,0 +1,172 @@
+package org.skylarkmast.daemon.engine;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.skylarkmast.core.engine.CacheKey;
+import org.skylarkmast.core.engine.FeedCursor;
+import org.skylarkmast.core.engine.LoadReport;
+import org.skylarkmast.core.json.JsonUtil;
+import org.skylarkmast.core.key.ProgramKey;
+import org.skylarkmast.core.scheduling.RunnerReport;
+import org.skylarkmast.core.scheduling.SchedulingEvent;
+import org.skylarkmast.http.AbortSignal;
+import org.skylarkmast.http.HttpClient;
+import org.skylarkmast.http.HttpOutcome;
+import org.skylarkmast.http.HttpSend;
+import tools.jackson.core.JacksonException;
+import tools.jackson.databind.JsonNode;
+
+/** Reads one runner's reports on two threads of its own, until closed; thread-safe. */
+final class RunnerFeed implements AutoCloseable {
+    private static final int OK = 200;
+
+    private final String runner;
+    private final String address;
+    private final EngineFeed.Timing timing;
+    private final HttpClient client;
+    private final Consumer<SchedulingEvent> events;
+    private final LongSupplier nowNs;
+    private final FeedCursor cursor = new FeedCursor();
+
+    private AbortSignal eventStream = new AbortSignal();
+    private volatile boolean closed;
+
+    RunnerFeed(
+            String runner,
+            String address,
+            EngineFeed.Timing timing,
+            HttpClient client,
+            Consumer<SchedulingEvent> events,
+            LongSupplier nowNs) {
+        this.runner = runner;
+        this.address = address;
+        this.timing = timing;
+        this.client = client;
+        this.events = events;
+        this.nowNs = nowNs;
+    }
+
+    String address() {
+        return address;
+    }
+
+    /** Starts reading; cache events only if the runner is an engine. */
+    void start(boolean engine) {
+        Thread.ofVirtual().name("load-" + runner).start(this::pollLoads);
+        if (engine) {
+            Thread.ofVirtual().name("cache-events-" + runner).start(this::followEvents);
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        currentStream().abort();
+    }
+
+    private void pollLoads() {
+        while (!closed) {
+            HttpOutcome outcome =
+                    client.send(HttpSend.get(address, "/metrics", timing.timeoutMs()));
+            if (outcome instanceof HttpOutcome.Answered answered && answered.status() == OK) {
+                LoadReport.parse(answered.text()).ifPresent(this::onReport);
+            }
+            pause(timing.pollIntervalMs());
+        }
+    }
+
+    private void onReport(LoadReport report) {
+        boolean restarted;
+        synchronized (this) {
+            restarted = cursor.onStartTime(report.startedAtMs());
+        }
+        if (restarted) {
+            // The runner counts its events anew, so the old place means nothing to it.
+            currentStream().abort();
+            emit(new SchedulingEvent.RunnerRestarted(runner));
+        }
+        emit(
+                new SchedulingEvent.LoadReported(
+                        new RunnerReport(
+                                runner,
+                                report.running(),
+                                report.waiting(),
+                                report.cacheUsedTokens(),
+                                report.cacheCapacityTokens(),
+                                nowNs.getAsLong())));
+    }
+
+    private void followEvents() {
+        while (!closed) {
+            AbortSignal abort = new AbortSignal();
+            String path;
+            synchronized (this) {
+                eventStream = abort;
+                path = "/cache/events?after=" + cursor.lastSequence();
+            }
+            if (!closed) {
+                HttpOutcome _ =
+                        client.stream(
+                                HttpSend.get(address, path, timing.eventSilenceMs()),
+                                abort,
+                                line -> onLine(line, abort));
+            }
+            pause(timing.pollIntervalMs());
+        }
+    }
+
+    private boolean onLine(String line, AbortSignal stream) {
+        if (!line.isBlank()) {
+            parse(line).ifPresent(event -> onEvent(event, stream));
+        }
+        return !closed && !stream.aborted();
+    }
+
+    private void onEvent(SchedulingEvent.CacheReported event, AbortSignal stream) {
+        synchronized (this) {
+            if (stream.aborted() || !cursor.onEvent(event.sequence())) {
+                return;
+            }
+        }
+        emit(event);
+    }
+
+    private Optional<SchedulingEvent.CacheReported> parse(String line) {
+        try {
+            JsonNode event = JsonUtil.MAPPER.readTree(line);
+            Optional<ProgramKey> program = CacheKey.parse(event.path("program").asString(""));
+            return program.map(
+                    key ->
+                            new SchedulingEvent.CacheReported(
+                                    runner,
+                                    event.path("sequence").asLong(0),
+                                    key,
+                                    event.path("cachedTokens").asInt(0)));
+        } catch (JacksonException e) {
+            return Optional.empty();
+        }
+    }
+
+    private void emit(SchedulingEvent event) {
+        if (!closed) {
+            events.accept(event);
+        }
+    }
+
+    private synchronized AbortSignal currentStream() {
+        return eventStream;
+    }
+
+    private void pause(long ms) {
+        if (closed) {
+            return;
+        }
+        try {
+            TimeUnit.MILLISECONDS.sleep(ms);
+        } catch (InterruptedException e) {
+            closed = true;
+        }
+    }
+}
