--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/ownership/OwnershipServiceTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/ownership/OwnershipServiceTest.java
@@ -119,6 +119,24 @@
         assertThat(SimulatedNode.texts(b.replays.get(partition).records())).containsExactly("one");
     }
 
+    @Test
+    void handOverOverASlowStoreWaitsForTheLastRecord() {
+        int partition = a.serving.first();
+        simulation.maxLatencyMs(400);
+        for (int record = 0; record < 20; record++) {
+            a.append(partition, "r" + record);
+            simulation.runMs(20);
+        }
+        a.ownership.drain(() -> {});
+        simulation.runMs(60_000);
+        assertThat(a.fenced).isEmpty();
+        assertThat(a.committed).hasSize(20);
+        assertThat(b.serving).contains(partition);
+        assertThat(SimulatedNode.texts(b.replays.get(partition).records()))
+                .containsExactlyElementsIn(a.committed)
+                .inOrder();
+    }
+
     @ParameterizedTest
     @EnumSource(
             value = FakeStore.Fault.class,
