[engines] Wire load reports, cache events and releases

Engine memory of ended programs is released by the owner until confirmed, and found by every owner's review of engines if a former owner was killed first.

--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
@@ -69,6 +69,7 @@
             new AtomicReference<>();
     private final AtomicReference<OwnershipParts> parts = new AtomicReference<>();
     private final AtomicReference<MembershipParts> membership = new AtomicReference<>();
+    private final AtomicReference<EngineParts> engines = new AtomicReference<>();
     private final AtomicBoolean draining = new AtomicBoolean();
     private final AtomicBoolean degraded = new AtomicBoolean();
     private final Server peerServer;
@@ -107,7 +108,7 @@
                         System::nanoTime,
                         client,
                         (callId, event) -> registry.get().post(callId, event),
-                        order -> {},
+                        order -> engines.get().order(order),
                         tracing,
                         metrics);
         registry.set(
@@ -127,6 +128,7 @@
                         loops,
                         draining::get,
                         this::configurationRevision));
+        engines.set(new EngineParts(client, owned.ownership, registry.get(), dispatch, loops));
         this.configuration = startConfiguration();
         owned.ownership.start(registry.get());
         membership.get().start(client, loops);
@@ -162,8 +164,7 @@
         log("drain_started");
         AtomicBoolean handedOver = new AtomicBoolean();
         long deadlineNs =
-                System.nanoTime()
-                        + TimeUnit.MILLISECONDS.toNanos(settings.limits().drainGraceMs());
+                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(settings.limits().drainGraceMs());
         pauseMs(settings.limits().drainDelayMs());
         owned.ownership.drain(() -> handedOver.set(true));
         while (!handedOver.get() && !nothingToWaitFor() && System.nanoTime() < deadlineNs) {
@@ -194,6 +195,7 @@
         callersServer.close();
         administrationServer.close();
         configuration.close();
+        engines.get().close();
         owned.ownership.close();
         peerServer.shutdown();
         try {
@@ -247,6 +249,7 @@
         keeper.get().addListener(dispatch::configurationChanged);
         keeper.get().addListener(registry.get()::configurationChanged);
         keeper.get().addListener(membership.get()::configurationChanged);
+        keeper.get().addListener(engines.get()::configurationChanged);
         keeper.get().start();
         return keeper.get();
     }
--- /dev/null
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/EngineParts.java
@@ -0,0 +1,129 @@
+package org.skylarkmast.daemon.node;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.skylarkmast.core.config.Configuration;
+import org.skylarkmast.core.config.Target;
+import org.skylarkmast.core.engine.ProgramLiveness;
+import org.skylarkmast.core.key.ProgramKey;
+import org.skylarkmast.core.ownership.OwnerLocation;
+import org.skylarkmast.core.ownership.PartitionDirectory;
+import org.skylarkmast.core.scheduling.SchedulingAction;
+import org.skylarkmast.core.scheduling.SchedulingEvent;
+import org.skylarkmast.daemon.dispatch.CallDispatch;
+import org.skylarkmast.daemon.engine.CacheReconciler;
+import org.skylarkmast.daemon.engine.CacheReleaser;
+import org.skylarkmast.daemon.engine.EngineFeed;
+import org.skylarkmast.daemon.partition.PartitionRegistry;
+import org.skylarkmast.http.HttpClient;
+
+/** What is read from engines and what they are asked to drop; thread-safe. */
+final class EngineParts implements AutoCloseable {
+    private static final long POLL_INTERVAL_MS = 500;
+    private static final long TIMEOUT_MS = 2_000;
+    private static final long EVENT_SILENCE_MS = 15_000;
+    private static final long RELEASE_INTERVAL_MS = 250;
+    private static final long REVIEW_INTERVAL_MS = 5_000;
+    private static final long LIVENESS_TIMEOUT_MS = 1_000;
+
+    private final PartitionDirectory directory;
+    private final PartitionRegistry registry;
+    private final EngineFeed feed;
+    private final CacheReleaser releaser;
+    private final CacheReconciler reconciler;
+    private final AtomicReference<Configuration> configuration =
+            new AtomicReference<>(Configuration.EMPTY);
+
+    EngineParts(
+            HttpClient client,
+            PartitionDirectory directory,
+            PartitionRegistry registry,
+            CallDispatch dispatch,
+            Loops loops) {
+        this.directory = directory;
+        this.registry = registry;
+        releaser =
+                new CacheReleaser(
+                        client,
+                        TIMEOUT_MS,
+                        this::addressOf,
+                        this::epochOf,
+                        dispatch::toScheduler,
+                        System::nanoTime);
+        reconciler = new CacheReconciler(client, TIMEOUT_MS, this::livenessOf, releaser::release);
+        feed =
+                new EngineFeed(
+                        new EngineFeed.Timing(POLL_INTERVAL_MS, TIMEOUT_MS, EVENT_SILENCE_MS),
+                        client,
+                        event -> {
+                            if (event instanceof SchedulingEvent.RunnerRestarted restarted) {
+                                releaser.onRunnerRestarted(restarted.runner());
+                            }
+                            dispatch.toScheduler(event);
+                        },
+                        System::nanoTime);
+        loops.everyBlocking(RELEASE_INTERVAL_MS, releaser::sendDue);
+        loops.everyBlocking(REVIEW_INTERVAL_MS, this::reviewEngines);
+    }
+
+    /** Follows the runners of a new configuration. */
+    void configurationChanged(Configuration changed) {
+        configuration.set(changed);
+        feed.follow(changed);
+    }
+
+    /** Carries out what the scheduler wants of caches. */
+    void order(SchedulingAction action) {
+        if (action instanceof SchedulingAction.ReleaseCache release) {
+            releaser.release(release.runner(), release.program());
+        }
+    }
+
+    @Override
+    public void close() {
+        feed.close();
+    }
+
+    private void reviewEngines() {
+        for (Target target : configuration.get().targets().values()) {
+            if (target.kind() == Target.Kind.MODEL_ENGINE) {
+                for (Target.Runner runner : target.runners()) {
+                    reconciler.review(runner.name(), runner.address());
+                }
+            }
+        }
+    }
+
+    private Optional<String> addressOf(String runnerName) {
+        return configuration.get().targets().values().stream()
+                .flatMap(target -> target.runners().stream())
+                .filter(runner -> runner.name().equals(runnerName))
+                .map(Target.Runner::address)
+                .findFirst();
+    }
+
+    private OptionalLong epochOf(ProgramKey program) {
+        int partition = program.partition();
+        if (!directory.ownedHere(partition, System.nanoTime())) {
+            return OptionalLong.empty();
+        }
+        Optional<OwnerLocation> owner = directory.ownerOf(partition);
+        return owner.map(location -> OptionalLong.of(location.epoch()))
+                .orElse(OptionalLong.empty());
+    }
+
+    private ProgramLiveness livenessOf(ProgramKey program) {
+        Optional<CompletableFuture<Boolean>> answer = registry.isLive(program);
+        if (answer.isEmpty() || epochOf(program).isEmpty()) {
+            return ProgramLiveness.NOT_OWNED;
+        }
+        return answer.get()
+                        .completeOnTimeout(true, LIVENESS_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                        .join()
+                ? ProgramLiveness.LIVE
+                : ProgramLiveness.GONE;
+    }
+}
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Loops.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Loops.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.skylarkmast.daemon.loop.ThreadEventLoop;
@@ -48,6 +49,25 @@
                 timer.scheduleWithFixedDelay(task, everyMs, everyMs, TimeUnit.MILLISECONDS);
     }
 
+    /** Runs a task that may block every {@code everyMs}, never twice at once. */
+    void everyBlocking(long everyMs, Runnable task) {
+        Semaphore idle = new Semaphore(1);
+        every(
+                everyMs,
+                () -> {
+                    if (idle.tryAcquire()) {
+                        blocking.execute(
+                                () -> {
+                                    try {
+                                        task.run();
+                                    } finally {
+                                        idle.release();
+                                    }
+                                });
+                    }
+                });
+    }
+
     @Override
     public void close() {
         timer.shutdownNow();
