--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallEnds.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallEnds.java
@@ -35,7 +35,7 @@
         if (call.isService()) {
             endIntent(call, notRun);
         }
-        CallerEvent event = new CallerEvent.Refused(refusal);
+        CallerEvent event = new CallerEvent.Refused(context.honest(call.request, refusal));
         call.waiters.forEach(waiter -> context.emit(waiter, event));
         remove(call);
     }
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallProgress.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallProgress.java
@@ -7,6 +7,8 @@
 import org.skylarkmast.core.config.ProgramTemplate;
 import org.skylarkmast.core.config.Target;
 import org.skylarkmast.core.journal.AppendOutcome;
+import org.skylarkmast.core.journal.Journal;
+import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.scheduling.CallFailure;
 import org.skylarkmast.core.scheduling.CallSubmission;
 import org.skylarkmast.core.scheduling.Destination;
@@ -336,6 +338,16 @@
                         turn.messages(),
                         event.text(),
                         summary);
+        if (JsonUtil.toBytes(record).length > Journal.MAX_RECORD_BYTES) {
+            ends.refuse(
+                    call,
+                    new Refusal(
+                            Refusal.Kind.TARGET_FAILED,
+                            "the answer is too long to be kept",
+                            Execution.RAN,
+                            0));
+            return;
+        }
         call.phase = Call.Phase.RECORDING;
         call.answer = new CallerEvent.ModelAnswered(event.text(), summary);
         context.append(
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/JournalRecord.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/JournalRecord.java
@@ -73,9 +73,17 @@
     /** A program or sub-agent ended with everything below it. */
     record ProgramEnded(ProgramKey program) implements JournalRecord {}
 
-    /** The state of one root program with its sub-agents, as records that rebuild it. */
+    /**
+     * The state of one root program with its sub-agents, as records that rebuild it.
+     *
+     * @param inheritedOpenCalls whether model calls may have been sent of which nothing is recorded
+     */
     record TreeSnapshot(
-            ProgramKey root, long grantedTokens, long spentTokens, List<JournalRecord> records)
+            ProgramKey root,
+            long grantedTokens,
+            long spentTokens,
+            boolean inheritedOpenCalls,
+            List<JournalRecord> records)
             implements JournalRecord {
         public TreeSnapshot {
             records = List.copyOf(records);
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionContext.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionContext.java
@@ -81,8 +81,26 @@
         act(new ProgramAction.Emit(waiterId, event));
     }
 
-    void refuse(long waiterId, Refusal refusal) {
-        emit(waiterId, new CallerEvent.Refused(refusal));
+    /** Refuses a request that got no call of its own. */
+    void refuse(long waiterId, CallerRequest request, Refusal refusal) {
+        emit(waiterId, new CallerEvent.Refused(honest(request, refusal)));
+    }
+
+    /**
+     * The refusal without a claim that cannot be kept: a former owner may have sent a model call
+     * with the same key, as such calls leave no record before they are sent.
+     */
+    Refusal honest(CallerRequest request, Refusal refusal) {
+        ProgramTree tree = state.trees.get(request.program().root());
+        boolean unsure =
+                tree != null
+                        && tree.inheritedOpenCalls
+                        && request.operation() instanceof Operation.ModelTurn
+                        && refusal.execution() == Execution.NOT_RUN;
+        return unsure
+                ? new Refusal(
+                        refusal.kind(), refusal.detail(), Execution.UNKNOWN, refusal.retryAfterMs())
+                : refusal;
     }
 
     Optional<ProgramTemplate> template(String name) {
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionMachine.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionMachine.java
@@ -182,7 +182,10 @@
                     };
             context.act(new ProgramAction.Withdraw(call.id));
             CallerEvent event =
-                    new CallerEvent.Refused(moved(sent ? Execution.UNKNOWN : Execution.NOT_RUN));
+                    new CallerEvent.Refused(
+                            context.honest(
+                                    call.request,
+                                    moved(sent ? Execution.UNKNOWN : Execution.NOT_RUN)));
             call.waiters.forEach(waiter -> context.emit(waiter, event));
         }
         context.calls.clear();
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionState.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionState.java
@@ -29,10 +29,15 @@
         for (byte[] bytes : replayed.records()) {
             state.apply(JsonUtil.fromBytes(bytes, JournalRecord.class), nowNs);
         }
-        state.trees.values().forEach(tree -> tree.budget.writeOffGrants());
+        state.trees.values().forEach(PartitionState::inherit);
         return state;
     }
 
+    private static void inherit(ProgramTree tree) {
+        tree.inheritedOpenCalls |= tree.budget.grantedTokens() > tree.budget.spentTokens();
+        tree.budget.writeOffGrants();
+    }
+
     /** The snapshot from which {@link #replay} rebuilds this state. */
     List<byte[]> snapshot() {
         List<byte[]> chunks = new ArrayList<>();
@@ -112,6 +117,7 @@
             case JournalRecord.TreeSnapshot part -> {
                 part.records().forEach(inner -> apply(inner, nowNs));
                 tree(part.root()).budget.restore(part.grantedTokens(), part.spentTokens());
+                tree(part.root()).inheritedOpenCalls |= part.inheritedOpenCalls();
             }
         }
     }
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramEnding.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramEnding.java
@@ -27,6 +27,7 @@
             } else {
                 context.refuse(
                         waiterId,
+                        request,
                         RequestChecks.refuse(Refusal.Kind.NOT_FOUND, "no program " + key.id())
                                 .orElseThrow());
             }
@@ -36,6 +37,7 @@
         if (tree.ending || busyAtOrBelow(tree, key)) {
             context.refuse(
                     waiterId,
+                    request,
                     new Refusal(
                             Refusal.Kind.CONFLICT,
                             "calls of the program are under way",
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramTree.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/ProgramTree.java
@@ -24,6 +24,12 @@
     long lastActiveNs;
     boolean ending;
 
+    /**
+     * Whether a former owner ended with grants open, so that it may have sent model calls of which
+     * nothing is recorded.
+     */
+    boolean inheritedOpenCalls;
+
     ProgramTree(ProgramKey root, String template) {
         this.root = root;
         this.template = template;
@@ -74,7 +80,7 @@
 
     private JournalRecord.TreeSnapshot part(List<JournalRecord> records) {
         return new JournalRecord.TreeSnapshot(
-                root, budget.grantedTokens(), budget.spentTokens(), records);
+                root, budget.grantedTokens(), budget.spentTokens(), inheritedOpenCalls, records);
     }
 
     private static void addService(
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/RequestChecks.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/RequestChecks.java
@@ -8,6 +8,8 @@
 import org.skylarkmast.core.config.Model;
 import org.skylarkmast.core.config.ProgramTemplate;
 import org.skylarkmast.core.config.Target;
+import org.skylarkmast.core.journal.Journal;
+import org.skylarkmast.core.json.JsonUtil;
 
 /** Checks of a request against the objects in force. Pure functions. */
 final class RequestChecks {
@@ -18,6 +20,9 @@
      */
     private static final int MESSAGE_OVERHEAD_TOKENS = 8;
 
+    /** Largest new messages of a turn; leaves room for the answer in its journal record. */
+    static final int MAX_TURN_BYTES = Journal.MAX_RECORD_BYTES / 2;
+
     /** Usual length of a token in running text. */
     private static final int BYTES_PER_TOKEN = 4;
 
@@ -51,6 +56,11 @@
         if (turn.messages().isEmpty()) {
             return refuse(Refusal.Kind.INVALID, "messages must not be empty");
         }
+        if (JsonUtil.toBytes(turn).length > MAX_TURN_BYTES) {
+            return refuse(
+                    Refusal.Kind.INVALID,
+                    "the messages of a turn may have " + MAX_TURN_BYTES + " bytes as JSON");
+        }
         if (turn.maxTokens() < 0) {
             return refuse(Refusal.Kind.INVALID, "max_tokens must not be negative");
         }
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/RequestIntake.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/RequestIntake.java
@@ -27,6 +27,7 @@
         if (context.lost || context.handingOver) {
             context.refuse(
                     waiterId,
+                    request,
                     new Refusal(
                             Refusal.Kind.OWNER_MOVED,
                             "the program moves to another owner",
@@ -75,6 +76,7 @@
         }
         context.refuse(
                 waiterId,
+                request,
                 new Refusal(
                         Refusal.Kind.CONFLICT,
                         "the idempotency key was used for another request",
@@ -133,10 +135,11 @@
 
     private void refuseMissing(long waiterId, CallerRequest request) {
         if (context.state.hasEnded(request.program())) {
-            refuseEnded(waiterId);
+            refuseEnded(waiterId, request);
         } else {
             context.refuse(
                     waiterId,
+                    request,
                     new Refusal(
                             Refusal.Kind.NOT_FOUND,
                             "no program " + request.program().id(),
@@ -146,9 +149,10 @@
     }
 
     /** Keys of ended programs are forgotten, so whether this one ran before cannot be told. */
-    private void refuseEnded(long waiterId) {
+    private void refuseEnded(long waiterId, CallerRequest request) {
         context.refuse(
                 waiterId,
+                request,
                 new Refusal(
                         Refusal.Kind.PROGRAM_ENDED, "the program has ended", Execution.UNKNOWN, 0));
     }
@@ -156,7 +160,7 @@
     private void admit(long waiterId, CallerRequest request) {
         ProgramTree tree = context.state.trees.get(request.program().root());
         if (context.state.hasEnded(request.program()) || (tree != null && tree.ending)) {
-            refuseEnded(waiterId);
+            refuseEnded(waiterId, request);
             return;
         }
         String templateName = tree == null ? request.template() : tree.template;
@@ -164,19 +168,21 @@
         if (template.isEmpty()) {
             context.refuse(
                     waiterId,
+                    request,
                     RequestChecks.refuse(Refusal.Kind.NOT_FOUND, "no template " + templateName)
                             .orElseThrow());
             return;
         }
         Optional<Refusal> wrong = check(request, template.get(), tree);
         if (wrong.isPresent()) {
-            context.refuse(waiterId, wrong.get());
+            context.refuse(waiterId, request, wrong.get());
             return;
         }
         AgentState agent = started(request, templateName);
         if (agent.queue.size() >= MAX_QUEUED_PER_PROGRAM) {
             context.refuse(
                     waiterId,
+                    request,
                     new Refusal(
                             Refusal.Kind.OVERLOADED,
                             "the program has " + agent.queue.size() + " calls waiting",
--- a/skylarkmast-core/src/test/java/org/skylarkmast/core/program/PartitionMachineTest.java
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/program/PartitionMachineTest.java
@@ -154,6 +154,31 @@
         assertThat(fixture.refusal(waiter).execution()).isEqualTo(Execution.UNKNOWN);
     }
 
+    @Test
+    void neverSaysNotRunOfAModelCallThatAFormerOwnerMayHaveSent() {
+        for (int i = 0; i < 3; i++) {
+            fixture.askModel(JOB, "k1", "text", 300);
+            fixture.dispatch(); // sent, then its owner is killed
+            fixture = fixture.takeOver();
+        }
+        fixture.askModel(JOB, "k1", "text", 300);
+        fixture = fixture.takeOver().takeOverFromSnapshot();
+        long back = fixture.askModel(JOB, "k1", "text", 300);
+        assertThat(fixture.refusal(back).kind()).isEqualTo(Refusal.Kind.BUDGET_SPENT);
+        assertThat(fixture.refusal(back).execution()).isEqualTo(Execution.UNKNOWN);
+    }
+
+    @Test
+    void refusesATurnThatItsJournalRecordCannotHold() {
+        long question = fixture.askModel(JOB, "k1", "x".repeat(500_000), 10);
+        assertThat(fixture.refusal(question).kind()).isEqualTo(Refusal.Kind.INVALID);
+        long answer = fixture.askModel(JOB, "k2", "text", 10);
+        long callId = fixture.dispatch();
+        String huge = "y".repeat(1_000_000);
+        fixture.feed(new ProgramEvent.ModelFinished(callId, huge, 10, 0, 10));
+        assertThat(fixture.refusal(answer).execution()).isEqualTo(Execution.RAN);
+    }
+
     @Test
     void cutsACallUnderWayAsUnknown() {
         long waiter = fixture.ask(JOB, "k1", PartitionFixture.order("/orders"));
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/RequestRouter.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/RequestRouter.java
@@ -107,7 +107,7 @@
             Optional<OwnerLocation> owner = directory.ownerOf(partition);
             if (owner.isPresent() && reachable.test(owner.get())) {
                 long passedNs = clockNs.getAsLong();
-                Pass pass = pass(owner.get(), request, merger);
+                Pass pass = pass(owner.get(), request, mayHaveRun, merger);
                 if (pass == Pass.ENDED || pass == Pass.LEFT) {
                     return;
                 }
@@ -131,7 +131,8 @@
                                 RETRY_AFTER_MS)));
     }
 
-    private Pass pass(OwnerLocation owner, CallerRequest request, AnswerMerger merger) {
+    private Pass pass(
+            OwnerLocation owner, CallerRequest request, boolean mayHaveRun, AnswerMerger merger) {
         BlockingQueue<Step> steps = new LinkedBlockingQueue<>();
         Runnable leave =
                 link.call(
@@ -148,7 +149,7 @@
                 if (moved(step.event()).isPresent()) {
                     return moved(step.event()).get();
                 }
-                if (!merger.accept(step.event())) {
+                if (!merger.accept(honest(step.event(), mayHaveRun))) {
                     leave.run();
                     return Pass.LEFT;
                 }
@@ -163,6 +164,21 @@
         }
     }
 
+    /** A later owner cannot vouch for what an owner that broke off has sent. */
+    private static CallerEvent honest(CallerEvent event, boolean mayHaveRun) {
+        if (mayHaveRun
+                && event instanceof CallerEvent.Refused(Refusal refusal)
+                && refusal.execution() == Execution.NOT_RUN) {
+            return new CallerEvent.Refused(
+                    new Refusal(
+                            refusal.kind(),
+                            refusal.detail(),
+                            Execution.UNKNOWN,
+                            refusal.retryAfterMs()));
+        }
+        return event;
+    }
+
     private static Optional<Pass> moved(CallerEvent event) {
         if (event instanceof CallerEvent.Refused(Refusal refusal)
                 && refusal.kind() == Refusal.Kind.OWNER_MOVED) {
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.UUID;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -38,6 +39,7 @@
 import org.skylarkmast.daemon.peer.PeerService;
 import org.skylarkmast.daemon.settings.Settings;
 import org.skylarkmast.daemon.telemetry.DaemonMetrics;
+import org.skylarkmast.daemon.telemetry.MeteredJournal;
 import org.skylarkmast.daemon.telemetry.MeteredStore;
 import org.skylarkmast.daemon.telemetry.Tracing;
 import org.skylarkmast.http.HttpClient;
@@ -72,6 +74,7 @@
     private final AtomicReference<EngineParts> engines = new AtomicReference<>();
     private final AtomicBoolean draining = new AtomicBoolean();
     private final AtomicBoolean degraded = new AtomicBoolean();
+    private final AtomicBoolean closing = new AtomicBoolean();
     private final Server peerServer;
     private final OwnershipParts owned;
     private final CallDispatch dispatch;
@@ -84,15 +87,15 @@
      *
      * @throws IOException if one of its addresses cannot be bound
      */
-    public Daemon(Settings settings, KeyValueStore store) throws IOException {
+    public Daemon(Settings settings, KeyValueStore plainStore) throws IOException {
         this.settings = settings;
-        this.store = new MeteredStore(store, metrics);
+        this.store = new MeteredStore(plainStore, metrics);
         this.tracing =
                 new Tracing(
                         settings.node().name(),
                         settings.telemetry().traceFile().map(Path::of),
                         settings.telemetry().otlpEndpoint());
-        this.loops = new Loops(Daemon::stopOnBrokenInvariant);
+        this.loops = new Loops(this::stopOnBrokenInvariant);
         this.peerServer = startPeerServer();
         HostPort peers = HostPort.parse(settings.addresses().peers());
         String peerAddress =
@@ -114,7 +117,7 @@
         registry.set(
                 new PartitionRegistry(
                         loops.partitionExecutors(),
-                        owned.journal,
+                        new MeteredJournal(owned.journal, metrics, System::nanoTime),
                         dispatch,
                         waiters,
                         System::nanoTime,
@@ -133,7 +136,6 @@
         owned.ownership.start(registry.get());
         membership.get().start(client, loops);
         startTicks();
-        observeGauges();
         this.callersServer = startCallersServer();
         this.administrationServer = startAdministrationServer();
     }
@@ -192,6 +194,8 @@
 
     @Override
     public void close() {
+        closing.set(true);
+        membership.get().close();
         callersServer.close();
         administrationServer.close();
         configuration.close();
@@ -254,13 +258,17 @@
         return keeper.get();
     }
 
-    private void observeGauges() {
+    private void observeGauges(AdminSources sources) {
         metrics.observe(
                 DaemonMetrics.Gauge.PARTITIONS_OWNED,
                 () -> registry.get().ownedPartitions().size());
         metrics.observe(
                 DaemonMetrics.Gauge.CONFIGURATION_REVISION,
                 () -> configuration.current().revision());
+        metrics.observe(DaemonMetrics.Gauge.QUEUE_LENGTH, () -> sources.status().callsQueued());
+        metrics.observe(
+                DaemonMetrics.Gauge.CALLS_UNDER_WAY, () -> sources.status().callsUnderWay());
+        metrics.observe(DaemonMetrics.Gauge.PROGRAMS_HELD, () -> sources.status().programsHeld());
     }
 
     private void startTicks() {
@@ -322,6 +330,7 @@
                         configuration::current,
                         () -> notReadyReason().isEmpty(),
                         draining::get);
+        observeGauges(sources);
         AdminHandler handler =
                 new AdminHandler(
                         settings.administration().operatorKeySha256(),
@@ -360,7 +369,11 @@
         }
     }
 
-    private static void stopOnBrokenInvariant(RuntimeException broken) {
+    /** Loops that are shut down refuse tasks; that is no broken invariant. */
+    private void stopOnBrokenInvariant(RuntimeException broken) {
+        if (closing.get() && broken instanceof RejectedExecutionException) {
+            return;
+        }
         LOG.atError().addKeyValue("event", "invariant_broken").setCause(broken).log();
         Runtime.getRuntime().halt(70);
     }
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/MembershipParts.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/MembershipParts.java
@@ -90,6 +90,11 @@
                                         .start());
     }
 
+    /** Sends no further heartbeats. */
+    void close() {
+        service.close();
+    }
+
     /** A new configuration may name runners on hosts that are leaving. */
     void configurationChanged(Configuration changed) {
         configuration = changed;
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRegistry.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/partition/PartitionRegistry.java
@@ -82,7 +82,7 @@
                         partition,
                         machine,
                         loops.get(partition % loops.size()),
-                        journal,
+                        journal.heldSince(partition, epoch),
                         calls,
                         waiters,
                         clockNs);
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/entry/RequestRouterTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/entry/RequestRouterTest.java
@@ -60,6 +60,18 @@
                         "next owner answers otherwise",
                         List.of(List.of(token(0, "a"), gone), List.of(token(0, "x"), answer("x"))),
                         "a|UNKNOWN."),
+                Arguments.of(
+                        "next owner refuses what the first may have run",
+                        List.of(
+                                List.of(gone),
+                                List.of(
+                                        new CallerEvent.Refused(
+                                                new Refusal(
+                                                        Refusal.Kind.BUDGET_SPENT,
+                                                        "spent",
+                                                        Execution.NOT_RUN,
+                                                        0)))),
+                        "UNKNOWN."),
                 Arguments.of(
                         "not the owner any longer",
                         List.of(List.of(notTaken), List.of(answer("a"))),
