--- a/skylarkmast-dist/src/test/java/org/skylarkmast/dist/proof/BudgetProofTest.java
+++ b/skylarkmast-dist/src/test/java/org/skylarkmast/dist/proof/BudgetProofTest.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.Future;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.skylarkmast.bench.caller.CallerOutcome;
@@ -51,7 +50,6 @@
         }
     }
 
-    @Tag("known-red")
     @Test
     void ownersKilledWithGrantsOpen() throws IOException {
         try (ProofRun run = proofs.begin("owners killed")) {
--- a/skylarkmast-dist/src/test/java/org/skylarkmast/dist/proof/EngineMemoryProofTest.java
+++ b/skylarkmast-dist/src/test/java/org/skylarkmast/dist/proof/EngineMemoryProofTest.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.Future;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.skylarkmast.bench.cluster.Await;
@@ -18,7 +17,6 @@
 import org.skylarkmast.bench.cluster.Signal;
 
 /** Engine memory of ended programs is released, whatever happens between. */
-@Tag("known-red")
 @TestInstance(TestInstance.Lifecycle.PER_CLASS)
 class EngineMemoryProofTest {
     private ProofCluster proofs;
@@ -39,7 +37,7 @@
             String program = run.program("p");
             run.askWhole(turn(program, 1, 0, false));
             run.askWhole(turn(program + "/parts", 1, 0, false));
-            run.judgeWithEngineMemory();
+            run.judge();
         }
     }
 
@@ -60,7 +58,7 @@
             }
             outcome(ending);
             run.endWhole(program);
-            run.judgeWithEngineMemory();
+            run.judge();
         }
     }
 
@@ -76,7 +74,7 @@
             for (Runner engine : run.cluster().engines()) {
                 run.cluster().heal(engine.name());
             }
-            run.judgeWithEngineMemory();
+            run.judge();
         }
     }
 }
--- a/skylarkmast-dist/src/test/java/org/skylarkmast/dist/proof/ProofRun.java
+++ b/skylarkmast-dist/src/test/java/org/skylarkmast/dist/proof/ProofRun.java
@@ -28,7 +28,6 @@
 import org.skylarkmast.bench.history.HistoryRecord;
 import org.skylarkmast.bench.history.HistoryRecord.Kind;
 import org.skylarkmast.bench.history.HistoryRecord.TargetSaw;
-import org.skylarkmast.bench.history.Invariant;
 import org.skylarkmast.bench.history.Violation;
 import org.skylarkmast.bench.load.StandInAnswers;
 import org.skylarkmast.bench.soak.RunJudge;
@@ -212,21 +211,8 @@
         }
     }
 
-    /**
-     * Restarts what has ended, reads all back and asserts that every invariant held, but for engine
-     * memory, which {@link EngineMemoryProofTest} judges.
-     */
+    /** Judges the scenario by all rules; engines must have released what ended programs held. */
     void judge() throws IOException {
-        assertWithMessage(scenario)
-                .that(
-                        violations(0).stream()
-                                .filter(found -> found.invariant() != Invariant.ENGINE_MEMORY)
-                                .toList())
-                .isEmpty();
-    }
-
-    /** Like {@link #judge}, and engines must have released what ended programs held. */
-    void judgeWithEngineMemory() throws IOException {
         assertWithMessage(scenario).that(violations(RELEASE_PATIENCE_MS)).isEmpty();
     }
 
