--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/decision/Simulation.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/decision/Simulation.java
@@ -219,7 +219,6 @@
                     clock.after(NETWORK_NS, () -> runner.cancel(cancel.callId()));
                 }
                 case SchedulingAction.ReleaseCache release -> release(owner, release);
-                case SchedulingAction.MoveCache move -> {}
             }
         }
     }
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallProgress.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/CallProgress.java
@@ -5,10 +5,7 @@
 import org.skylarkmast.core.config.Model;
 import org.skylarkmast.core.config.Priority;
 import org.skylarkmast.core.config.ProgramTemplate;
-import org.skylarkmast.core.config.Target;
 import org.skylarkmast.core.journal.AppendOutcome;
-import org.skylarkmast.core.journal.Journal;
-import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.scheduling.CallFailure;
 import org.skylarkmast.core.scheduling.CallSubmission;
 import org.skylarkmast.core.scheduling.Destination;
@@ -22,9 +19,6 @@
  */
 final class CallProgress {
 
-    /** Larger service answers are passed on but not kept for later duplicates. */
-    private static final int MAX_KEPT_BODY_BYTES = 65_536;
-
     private static final long STORE_DOWN_RETRY_MS = 2_000;
     private static final long RESEND_RETRY_MS = 1_000;
     private static final Priority DEFAULT_PRIORITY = new Priority("", 0, 30_000);
@@ -32,13 +26,19 @@
     private final PartitionContext context;
     private final BudgetGate gate;
     private final CallEnds ends;
+    private final CallAnswers answers;
 
     CallProgress(PartitionContext context) {
         this.context = context;
         this.ends = new CallEnds(context, this::startNext);
+        this.answers = new CallAnswers(context, ends);
         this.gate = new BudgetGate(context, this::submit, ends::refuse);
     }
 
+    CallAnswers answers() {
+        return answers;
+    }
+
     CallEnds ends() {
         return ends;
     }
@@ -55,14 +55,6 @@
         }
     }
 
-    /** Asks the target of a call whose outcome nobody recorded. */
-    void lookUp(Call call) {
-        Operation.ServiceCall service = (Operation.ServiceCall) call.request.operation();
-        call.phase = Call.Phase.LOOKING_UP;
-        context.act(
-                new ProgramAction.LookUp(call.id, service.target(), call.agent.key, call.key()));
-    }
-
     private void begin(Call call) {
         Optional<ProgramTemplate> found = context.template(call.agent.tree.template);
         if (found.isEmpty()) {
@@ -260,29 +252,6 @@
         }
     }
 
-    /** A piece of the answer arrived; pieces of a later attempt must repeat the earlier ones. */
-    void tokenArrived(ProgramEvent.TokenArrived event) {
-        Call call = context.calls.get(event.callId());
-        if (call == null || call.phase != Call.Phase.SENT) {
-            return;
-        }
-        if (event.index() == call.tokens.size()) {
-            call.tokens.add(event.text());
-            CallerEvent token = new CallerEvent.Token(event.index(), event.text());
-            call.waiters.forEach(waiter -> context.emit(waiter, token));
-        } else if (event.index() > call.tokens.size()
-                || !call.tokens.get(event.index()).equals(event.text())) {
-            context.act(new ProgramAction.Withdraw(call.id));
-            ends.refuse(
-                    call,
-                    new Refusal(
-                            Refusal.Kind.TARGET_FAILED,
-                            "the runner failed midway and the answer could not be resumed",
-                            Execution.UNKNOWN,
-                            RESEND_RETRY_MS));
-        }
-    }
-
     /** The scheduler refused a call that never was sent. */
     void refused(ProgramEvent.CallRefused event) {
         Call call = context.calls.get(event.callId());
@@ -304,8 +273,8 @@
                         : Refusal.Kind.TARGET_FAILED;
         if (!call.mayHaveRun) {
             ends.refuse(call, kind, "no runner took the call", event.retryAfterMs());
-        } else if (call.isService() && supportsLookup(call)) {
-            lookUp(call);
+        } else if (call.isService() && answers.supportsLookup(call)) {
+            answers.lookUp(call);
         } else {
             ends.refuse(
                     call,
@@ -317,94 +286,6 @@
         }
     }
 
-    /** A model's answer is whole. */
-    void modelFinished(ProgramEvent.ModelFinished event) {
-        Call call = context.calls.get(event.callId());
-        if (call == null || call.phase != Call.Phase.SENT) {
-            return;
-        }
-        long used = (long) event.promptTokens() + event.outputTokens();
-        call.agent.tree.budget.settle(call.reservedTokens, used);
-        call.reservedTokens = 0;
-        TurnSummary summary =
-                context.summary(
-                        call, event.promptTokens(), event.cachedTokens(), event.outputTokens());
-        Operation.ModelTurn turn = (Operation.ModelTurn) call.request.operation();
-        JournalRecord.TurnCompleted record =
-                new JournalRecord.TurnCompleted(
-                        call.agent.key,
-                        call.key(),
-                        call.request.digest(),
-                        turn.messages(),
-                        event.text(),
-                        summary);
-        if (JsonUtil.toBytes(record).length > Journal.MAX_RECORD_BYTES) {
-            ends.refuse(
-                    call,
-                    new Refusal(
-                            Refusal.Kind.TARGET_FAILED,
-                            "the answer is too long to be kept",
-                            Execution.RAN,
-                            0));
-            return;
-        }
-        call.phase = Call.Phase.RECORDING;
-        call.answer = new CallerEvent.ModelAnswered(event.text(), summary);
-        context.append(
-                record,
-                outcome -> ends.recorded(call, outcome, () -> context.state.complete(record)));
-    }
-
-    /** A plain service answered. */
-    void serviceFinished(long callId, int status, String contentType, byte[] body) {
-        Call call = context.calls.get(callId);
-        if (call == null
-                || (call.phase != Call.Phase.SENT && call.phase != Call.Phase.LOOKING_UP)) {
-            return;
-        }
-        TurnSummary summary = context.summary(call, 0, 0, 0);
-        JournalRecord.ServiceCompleted record =
-                new JournalRecord.ServiceCompleted(
-                        call.agent.key,
-                        call.key(),
-                        call.request.digest(),
-                        status,
-                        contentType,
-                        body.length > MAX_KEPT_BODY_BYTES ? null : body,
-                        summary);
-        call.phase = Call.Phase.RECORDING;
-        call.answer = new CallerEvent.ServiceAnswered(status, contentType, body, summary);
-        context.append(
-                record,
-                outcome -> ends.recorded(call, outcome, () -> context.state.complete(record)));
-    }
-
-    /**
-     * A target was asked about a call; an unknown key proves nothing, as the call may yet arrive.
-     */
-    void lookedUp(ProgramEvent.LookedUp event) {
-        if (event.status() > 0) {
-            serviceFinished(event.callId(), event.status(), event.contentType(), event.body());
-            return;
-        }
-        Call call = context.calls.get(event.callId());
-        if (call != null) {
-            ends.refuse(
-                    call,
-                    new Refusal(
-                            Refusal.Kind.TARGET_FAILED,
-                            "whether the call ran cannot be told",
-                            Execution.UNKNOWN,
-                            0));
-        }
-    }
-
-    boolean supportsLookup(Call call) {
-        Operation.ServiceCall service = (Operation.ServiceCall) call.request.operation();
-        Target target = context.configuration.targets().get(service.target());
-        return target != null && target.supportsLookup();
-    }
-
     private boolean repeatable(Call call) {
         return switch (call.request.operation()) {
             case Operation.ModelTurn ignored -> true;
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionMachine.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/PartitionMachine.java
@@ -55,11 +55,12 @@
             case ProgramEvent.CallRefused e -> progress.refused(e);
             case ProgramEvent.CallGivenUp e -> progress.givenUp(e);
             case ProgramEvent.AttemptFailed e -> progress.attemptFailed(e);
-            case ProgramEvent.TokenArrived e -> progress.tokenArrived(e);
-            case ProgramEvent.ModelFinished e -> progress.modelFinished(e);
+            case ProgramEvent.TokenArrived e -> progress.answers().tokenArrived(e);
+            case ProgramEvent.ModelFinished e -> progress.answers().modelFinished(e);
             case ProgramEvent.ServiceFinished e ->
-                    progress.serviceFinished(e.callId(), e.status(), e.contentType(), e.body());
-            case ProgramEvent.LookedUp e -> progress.lookedUp(e);
+                    progress.answers()
+                            .serviceFinished(e.callId(), e.status(), e.contentType(), e.body());
+            case ProgramEvent.LookedUp e -> progress.answers().lookedUp(e);
             case ProgramEvent.ConfigurationChanged e -> context.configuration = e.configuration();
             case ProgramEvent.JournalDegraded e -> context.degraded = e.degraded();
             case ProgramEvent.EpochChanged e -> epochChanged(e.epoch());
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/program/RequestIntake.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/program/RequestIntake.java
@@ -96,10 +96,10 @@
     /** A call was sent by somebody who never recorded its end; it is not sent again. */
     private void settle(long waiterId, CallerRequest request, AgentState agent) {
         Call call = newCall(waiterId, request, agent, Long.MAX_VALUE);
-        if (progress.supportsLookup(call)) {
-            progress.lookUp(call);
+        if (progress.answers().supportsLookup(call)) {
+            progress.answers().lookUp(call);
         } else {
-            progress.lookedUp(new ProgramEvent.LookedUp(call.id, 0, "", new byte[0]));
+            progress.answers().lookedUp(new ProgramEvent.LookedUp(call.id, 0, "", new byte[0]));
         }
     }
 
--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/SchedulingAction.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/scheduling/SchedulingAction.java
@@ -35,8 +35,4 @@
 
     /** Asks a runner to drop what it holds for a program; repeated until confirmed. */
     record ReleaseCache(String runner, ProgramKey program) implements SchedulingAction {}
-
-    /** Asks {@code toRunner} to import the program's cached prefix from {@code fromRunner}. */
-    record MoveCache(ProgramKey program, String fromRunner, String toRunner)
-            implements SchedulingAction {}
 }
--- a/skylarkmast-core/src/test/java/org/skylarkmast/core/scheduling/CallSchedulerPropertyTest.java
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/scheduling/CallSchedulerPropertyTest.java
@@ -155,7 +155,6 @@
                         mayHaveRun.add(cancel.callId());
                     }
                     case SchedulingAction.ReleaseCache release -> {}
-                    case SchedulingAction.MoveCache move -> {}
                 }
             }
         }
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/CallDispatch.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/dispatch/CallDispatch.java
@@ -43,7 +43,7 @@
     private final ModelSender models;
     private final ServiceSender services;
     private final PartitionPost partitions;
-    private final Consumer<SchedulingAction> cacheOrders;
+    private final Consumer<SchedulingAction.ReleaseCache> releases;
     private final CallSpans spans;
     private final DaemonMetrics metrics;
     private final AtomicReference<Configuration> configuration =
@@ -61,7 +61,7 @@
     /**
      * @param loop single-threaded
      * @param attempts runs blocking attempts
-     * @param cacheOrders takes cache releases and moves
+     * @param releases takes cache releases
      */
     public CallDispatch(
             CallScheduler scheduler,
@@ -71,7 +71,7 @@
             LongSupplier clockNs,
             HttpClient client,
             PartitionPost partitions,
-            Consumer<SchedulingAction> cacheOrders,
+            Consumer<SchedulingAction.ReleaseCache> releases,
             Tracing tracing,
             DaemonMetrics metrics) {
         this.scheduler = scheduler;
@@ -80,7 +80,7 @@
         this.directory = directory;
         this.clockNs = clockNs;
         this.partitions = partitions;
-        this.cacheOrders = cacheOrders;
+        this.releases = releases;
         this.spans = new CallSpans(tracing);
         this.metrics = metrics;
         this.models = new ModelSender(client, this, clockNs);
@@ -239,8 +239,7 @@
                                 g.callId(), g.lastFailure(), g.retryAfterMs()));
             }
             case SchedulingAction.CancelAttempt c -> cut(c.callId());
-            case SchedulingAction.ReleaseCache r -> cacheOrders.accept(r);
-            case SchedulingAction.MoveCache m -> cacheOrders.accept(m);
+            case SchedulingAction.ReleaseCache r -> releases.accept(r);
         }
     }
 
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/Daemon.java
@@ -111,7 +111,7 @@
                         System::nanoTime,
                         client,
                         (callId, event) -> registry.get().post(callId, event),
-                        order -> engines.get().order(order),
+                        release -> engines.get().release(release),
                         tracing,
                         metrics);
         registry.set(
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/EngineParts.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/EngineParts.java
@@ -17,6 +17,7 @@
 import org.skylarkmast.daemon.engine.CacheReconciler;
 import org.skylarkmast.daemon.engine.CacheReleaser;
 import org.skylarkmast.daemon.engine.EngineFeed;
+import org.skylarkmast.daemon.engine.EngineOrders;
 import org.skylarkmast.daemon.partition.PartitionRegistry;
 import org.skylarkmast.http.HttpClient;
 
@@ -34,6 +35,7 @@
     private final EngineFeed feed;
     private final CacheReleaser releaser;
     private final CacheReconciler reconciler;
+    private final EngineOrders orders;
     private final AtomicReference<Configuration> configuration =
             new AtomicReference<>(Configuration.EMPTY);
 
@@ -54,6 +56,7 @@
                         dispatch::toScheduler,
                         System::nanoTime);
         reconciler = new CacheReconciler(client, TIMEOUT_MS, this::livenessOf, releaser::release);
+        orders = new EngineOrders(client, TIMEOUT_MS, this::epochOfTarget);
         feed =
                 new EngineFeed(
                         new EngineFeed.Timing(POLL_INTERVAL_MS, TIMEOUT_MS, EVENT_SILENCE_MS),
@@ -67,6 +70,7 @@
                         System::nanoTime);
         loops.everyBlocking(RELEASE_INTERVAL_MS, releaser::sendDue);
         loops.everyBlocking(REVIEW_INTERVAL_MS, this::reviewEngines);
+        loops.everyBlocking(REVIEW_INTERVAL_MS, () -> orders.review(configuration.get()));
     }
 
     /** Follows the runners of a new configuration. */
@@ -75,11 +79,9 @@
         feed.follow(changed);
     }
 
-    /** Carries out what the scheduler wants of caches. */
-    void order(SchedulingAction action) {
-        if (action instanceof SchedulingAction.ReleaseCache release) {
-            releaser.release(release.runner(), release.program());
-        }
+    /** Has a runner drop what it holds for a program. */
+    void release(SchedulingAction.ReleaseCache release) {
+        releaser.release(release.runner(), release.program());
     }
 
     @Override
@@ -105,6 +107,11 @@
                 .findFirst();
     }
 
+    /** Orders to a target are given by the owner of the partition that its name falls into. */
+    private OptionalLong epochOfTarget(String target) {
+        return epochOf(new ProgramKey("", target));
+    }
+
     private OptionalLong epochOf(ProgramKey program) {
         int partition = program.partition();
         if (!directory.ownedHere(partition, System.nanoTime())) {
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/telemetry/DaemonMetrics.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/telemetry/DaemonMetrics.java
@@ -59,7 +59,10 @@
                         "Time from a model call's arrival to its first token.",
                         CALL_BUCKETS_SECONDS);
         this.journalFlushSeconds =
-                histogram("journal_flush", "Time from appending a record to its commit.", STORE_BUCKETS_SECONDS);
+                histogram(
+                        "journal_flush",
+                        "Time from appending a record to its commit.",
+                        STORE_BUCKETS_SECONDS);
     }
 
     /** Values that are read when the metrics are scraped. */
