[problem] One way to write problems and one way to read bench command lines

Callers' and operators' ports each had their own RFC 9457 writer and their own execution words; four bench programs read their command lines with the same lines. Types are urn:skylarkmast:problem:KIND everywhere.

--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/compare/CompareMain.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/compare/CompareMain.java
@@ -1,14 +1,13 @@
 package org.skylarkmast.bench.compare;
 
-import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.ParameterException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.skylarkmast.bench.CommandLineUtil;
 import org.skylarkmast.bench.caller.CallerClient;
 import org.skylarkmast.bench.cluster.ClusterShape;
 import org.skylarkmast.bench.cluster.LocalCluster;
@@ -21,7 +20,6 @@
 
 /** Runs both policies on each seed and writes {@code bench.json} and {@code bench.html}. */
 public final class CompareMain {
-    private static final int USAGE_ERROR = 2;
     private static final int MAX_ATTEMPTS = 20;
     private static final long SILENCE_TIMEOUT_MS = 60_000;
 
@@ -51,16 +49,7 @@
     /** Runs the comparison. */
     public static void main(String[] arguments) throws IOException {
         CompareMain options = new CompareMain();
-        JCommander commander =
-                JCommander.newBuilder().programName("bench").addObject(options).build();
-        try {
-            commander.parse(arguments);
-        } catch (ParameterException e) {
-            System.err.println("error: " + e.getMessage());
-            System.exit(USAGE_ERROR);
-        }
-        if (options.help) {
-            commander.usage();
+        if (!CommandLineUtil.parse("bench", options, () -> options.help, arguments)) {
             return;
         }
         options.run();
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoMain.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoMain.java
@@ -1,10 +1,9 @@
 package org.skylarkmast.bench.demo;
 
-import com.beust.jcommander.JCommander;
-import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import org.skylarkmast.bench.CommandLineUtil;
 import org.skylarkmast.http.HttpClient;
 
 /** Runs the demonstration against daemons that are up; exits 0 only if all was right. */
@@ -14,15 +13,7 @@
     /** Runs the demonstration. */
     public static void main(String[] arguments) {
         DemoOptions options = new DemoOptions();
-        JCommander commander = JCommander.newBuilder().addObject(options).build();
-        try {
-            commander.parse(arguments);
-        } catch (ParameterException e) {
-            System.err.println("error: " + e.getMessage());
-            System.exit(2);
-        }
-        if (options.help) {
-            commander.usage();
+        if (!CommandLineUtil.parse("demo", options, () -> options.help, arguments)) {
             return;
         }
         Map<String, Long> pids = new HashMap<>();
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/recovery/RecoveryMain.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/recovery/RecoveryMain.java
@@ -1,8 +1,6 @@
 package org.skylarkmast.bench.recovery;
 
-import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.ParameterException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -12,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.ToLongFunction;
+import org.skylarkmast.bench.CommandLineUtil;
 import org.skylarkmast.bench.caller.CallerClient;
 import org.skylarkmast.bench.caller.CallerOutcome;
 import org.skylarkmast.bench.caller.CallerRequest;
@@ -28,7 +27,6 @@
 public final class RecoveryMain {
     private static final long SILENCE_TIMEOUT_MS = 40_000;
     private static final int MAX_ATTEMPTS = 1_000;
-    private static final int USAGE_ERROR = 2;
     private static final long NANOS_PER_MS = 1_000_000;
 
     @Parameter(names = "--runs", description = "kills to measure, one after the other")
@@ -45,16 +43,7 @@
     /** Runs the measurement. */
     public static void main(String[] arguments) throws IOException {
         RecoveryMain options = new RecoveryMain();
-        JCommander commander =
-                JCommander.newBuilder().programName("recovery").addObject(options).build();
-        try {
-            commander.parse(arguments);
-        } catch (ParameterException e) {
-            System.err.println("error: " + e.getMessage());
-            System.exit(USAGE_ERROR);
-        }
-        if (options.help) {
-            commander.usage();
+        if (!CommandLineUtil.parse("recovery", options, () -> options.help, arguments)) {
             return;
         }
         options.run();
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/soak/SoakMain.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/soak/SoakMain.java
@@ -1,12 +1,11 @@
 package org.skylarkmast.bench.soak;
 
-import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.ParameterException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import org.skylarkmast.bench.CommandLineUtil;
 import org.skylarkmast.bench.cluster.ClusterShape;
 import org.skylarkmast.bench.history.Violation;
 import org.skylarkmast.bench.load.StandInAnswers;
@@ -16,7 +15,6 @@
     /** A round's two faults with the pauses around them, on average. */
     private static final int ROUNDS_PER_MINUTE = 4;
 
-    private static final int USAGE_ERROR = 2;
     private static final int VIOLATED = 1;
 
     @Parameter(names = "--seed", description = "decides the load and the faults")
@@ -39,16 +37,7 @@
     /** Runs the soak. */
     public static void main(String[] arguments) throws IOException {
         SoakMain options = new SoakMain();
-        JCommander commander =
-                JCommander.newBuilder().programName("soak").addObject(options).build();
-        try {
-            commander.parse(arguments);
-        } catch (ParameterException e) {
-            System.err.println("error: " + e.getMessage());
-            System.exit(USAGE_ERROR);
-        }
-        if (options.help) {
-            commander.usage();
+        if (!CommandLineUtil.parse("soak", options, () -> options.help, arguments)) {
             return;
         }
         System.exit(options.run());
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/admin/AdminHandler.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/admin/AdminHandler.java
@@ -74,16 +74,7 @@
 
     private HttpReply operatorCall(HttpCall call) {
         if (!operators.admit(call)) {
-            byte[] body =
-                    JsonUtil.toBytes(
-                            new ProblemReply(
-                                            401,
-                                            "unauthorized",
-                                            "Operator key required",
-                                            "expected a bearer key of an operator")
-                                    .toJson());
-            return new HttpReply.Full(
-                    401, Map.of("WWW-Authenticate", "Bearer"), "application/problem+json", body);
+            return ProblemReply.unauthorized("expected a bearer key of an operator");
         }
         return switch (call.path()) {
             case "/v1/objects" ->
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/CallersHandler.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/CallersHandler.java
@@ -20,6 +20,7 @@
 import org.skylarkmast.core.program.CallerRequest;
 import org.skylarkmast.core.program.Operation;
 import org.skylarkmast.core.program.Refusal;
+import org.skylarkmast.daemon.problem.ProblemReply;
 import org.skylarkmast.daemon.telemetry.TraceParent;
 import org.skylarkmast.http.HttpCall;
 import org.skylarkmast.http.HttpHandler;
@@ -66,7 +67,7 @@
                         .map(value -> Digests.sha256Hex(value.substring("Bearer ".length())))
                         .flatMap(digest -> configuration.get().workspaceOfKey(digest));
         if (workspace.isEmpty()) {
-            return Problems.unauthorized();
+            return ProblemReply.unauthorized("a valid bearer key is required");
         }
         String name = workspace.get().name();
         if (call.path().equals(CHAT_PATH)) {
@@ -241,9 +242,7 @@
                                     + data("[DONE]");
                     case CallerEvent.Refused refused ->
                             "event: error\n"
-                                    + data(
-                                            JsonUtil.MAPPER.writeValueAsString(
-                                                    Problems.members(refused.refusal())));
+                                    + data(Problems.of(refused.refusal()).toJson().toString());
                     case CallerEvent.ServiceAnswered ignored ->
                             throw new IllegalStateException("not a model's answer");
                     case CallerEvent.Ended ignored ->
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/Problems.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/entry/Problems.java
@@ -1,18 +1,13 @@
 package org.skylarkmast.daemon.entry;
 
-import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
 import java.util.Locale;
-import java.util.Map;
-import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.program.Execution;
 import org.skylarkmast.core.program.Refusal;
+import org.skylarkmast.daemon.problem.ProblemReply;
 import org.skylarkmast.http.HttpReply;
 
-/** Refusals as RFC 9457 problem details. */
+/** Refusals as problem details. */
 final class Problems {
-    private static final long MS_PER_SECOND = 1_000;
-
     private Problems() {}
 
     /** The HTTP status of a refusal. */
@@ -30,51 +25,23 @@
         };
     }
 
-    /**
-     * The problem's members; {@code execution} is {@code not-run}, {@code unknown} or {@code ran}.
-     */
-    static Map<String, Object> members(Refusal refusal) {
-        Map<String, Object> members = new LinkedHashMap<>();
+    /** The problem that a refusal is. */
+    static ProblemReply of(Refusal refusal) {
         String kind = refusal.kind().name().toLowerCase(Locale.ROOT).replace('_', '-');
-        members.put("type", "urn:skylarkmast:" + kind);
-        members.put("title", kind.replace('-', ' '));
-        members.put("status", status(refusal));
-        members.put("detail", refusal.detail());
-        members.put(
-                "execution", refusal.execution().name().toLowerCase(Locale.ROOT).replace('_', '-'));
-        members.put("retryAfterMs", refusal.retryAfterMs());
-        return members;
+        ProblemReply problem =
+                new ProblemReply(status(refusal), kind, kind.replace('-', ' '), refusal.detail())
+                        .withExecution(refusal.execution());
+        return refusal.retryAfterMs() == 0
+                ? problem
+                : problem.withRetryAfterMs(refusal.retryAfterMs());
     }
 
     static HttpReply reply(Refusal refusal) {
-        Map<String, String> headers =
-                refusal.retryAfterMs() == 0
-                        ? Map.of()
-                        : Map.of(
-                                "Retry-After",
-                                Long.toString(Math.ceilDiv(refusal.retryAfterMs(), MS_PER_SECOND)));
-        return new HttpReply.Full(
-                status(refusal),
-                headers,
-                "application/problem+json",
-                JsonUtil.MAPPER
-                        .writeValueAsString(members(refusal))
-                        .getBytes(StandardCharsets.UTF_8));
+        return of(refusal).toReply();
     }
 
     /** A problem of a request that was turned away at the door. */
     static HttpReply invalid(Refusal.Kind kind, String detail) {
         return reply(new Refusal(kind, detail, Execution.NOT_RUN, 0));
     }
-
-    static HttpReply unauthorized() {
-        return new HttpReply.Full(
-                401,
-                Map.of("WWW-Authenticate", "Bearer"),
-                "application/problem+json",
-                ("{\"type\":\"urn:skylarkmast:unauthorized\",\"title\":\"unauthorized\","
-                                + "\"status\":401,\"detail\":\"a valid bearer key is required\","
-                                + "\"execution\":\"not-run\",\"retryAfterMs\":0}")
-                        .getBytes(StandardCharsets.UTF_8));
-    }
 }
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/problem/ProblemReply.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/problem/ProblemReply.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.skylarkmast.core.json.JsonUtil;
+import org.skylarkmast.core.program.Execution;
 import org.skylarkmast.http.HttpReply;
 import tools.jackson.databind.node.ObjectNode;
 
@@ -49,8 +50,21 @@
                 status, type, title, detail, execution, OptionalLong.of(newRetryAfterMs));
     }
 
+    /** The answer to a request without a valid bearer key. */
+    public static HttpReply unauthorized(String detail) {
+        HttpReply.Full reply =
+                new ProblemReply(401, "unauthorized", "Unauthorized", detail)
+                        .withExecution(Execution.NOT_RUN)
+                        .toReply();
+        return new HttpReply.Full(
+                reply.status(),
+                Map.of("WWW-Authenticate", "Bearer"),
+                reply.contentType(),
+                reply.body());
+    }
+
     /** The answer to send. */
-    public HttpReply toReply() {
+    public HttpReply.Full toReply() {
         return toReply(JsonUtil.MAPPER.createObjectNode());
     }
 
@@ -59,7 +73,7 @@
      *
      * @param extension further members of the problem, added after the standard ones
      */
-    public HttpReply toReply(ObjectNode extension) {
+    public HttpReply.Full toReply(ObjectNode extension) {
         ObjectNode body = toJson();
         body.setAll(extension);
         Map<String, String> headers = new LinkedHashMap<>();
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/problem/ProblemReplyTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/problem/ProblemReplyTest.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.skylarkmast.core.program.Execution;
 import org.skylarkmast.http.HttpReply;
 
 class ProblemReplyTest {
