--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/membership/MembershipSettings.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/membership/MembershipSettings.java
@@ -18,8 +18,9 @@
         long liveAgainMs,
         long liveUnchangedMs) {
 
-    /** The usual settings for rounds of {@code roundMs}. */
-    public static MembershipSettings withRounds(long roundMs) {
-        return new MembershipSettings(3, roundMs, 3, 3, 5_000, 30_000);
+    /** The usual settings, suspecting a peer that is silent for {@code suspectAfterMs}. */
+    public static MembershipSettings withRounds(long roundMs, long suspectAfterMs) {
+        int misses = (int) Math.max(1, suspectAfterMs / roundMs);
+        return new MembershipSettings(3, roundMs, misses, 3, 5_000, 30_000);
     }
 }
--- a/skylarkmast-core/src/test/java/org/skylarkmast/core/membership/MembershipMachineTest.java
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/membership/MembershipMachineTest.java
@@ -16,7 +16,7 @@
 
 class MembershipMachineTest {
     private static final long SECOND_NS = 1_000_000_000L;
-    private static final MembershipSettings SETTINGS = MembershipSettings.withRounds(1_000);
+    private static final MembershipSettings SETTINGS = MembershipSettings.withRounds(1_000, 3_000);
 
     private final MembershipMachine machine = new MembershipMachine(SETTINGS, new Random(3));
 
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/MembershipParts.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/node/MembershipParts.java
@@ -61,7 +61,8 @@
         service =
                 new MembershipService(
                         new MembershipMachine(
-                                MembershipSettings.withRounds(roundMs),
+                                MembershipSettings.withRounds(
+                                        roundMs, settings.timing().suspectAfterMs()),
                                 RandomGenerator.getDefault()),
                         () ->
                                 new MembershipService.SessionSource.Sessions(
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/settings/Settings.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/settings/Settings.java
@@ -89,13 +89,11 @@
      * Limits of this process.
      *
      * @param maxBodyBytes largest body taken from a caller
-     * @param maxProgramsHeld programs held in memory at once
      * @param drainGraceMs longest time that a leaving process waits for requests under way
      * @param drainDelayMs time between reporting not ready and refusing connections, which gives
      *     the balancer time to notice
      */
-    public record Limits(
-            int maxBodyBytes, int maxProgramsHeld, long drainGraceMs, long drainDelayMs) {}
+    public record Limits(int maxBodyBytes, long drainGraceMs, long drainDelayMs) {}
 
     /**
      * Traces and logs.
@@ -112,12 +110,7 @@
      *
      * @param heartbeatIntervalMs time between two heartbeats to a peer
      * @param suspectAfterMs silence after which nothing new is forwarded to a peer
-     * @param journalIntervalMs shortest time between two group commits of the journal
      * @param claimGraceMs time to leave an owner whose session lapsed before claiming from it
      */
-    public record Timing(
-            long heartbeatIntervalMs,
-            long suspectAfterMs,
-            long journalIntervalMs,
-            long claimGraceMs) {}
+    public record Timing(long heartbeatIntervalMs, long suspectAfterMs, long claimGraceMs) {}
 }
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/settings/SettingsReaderTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/settings/SettingsReaderTest.java
@@ -38,7 +38,7 @@
         assertThat(settings.weight()).isEqualTo(1.0);
         assertThat(settings.dataFolder()).isEmpty();
         assertThat(settings.hostList()).isEmpty();
-        assertThat(settings.store().leaseTtlMs()).isEqualTo(10_000);
+        assertThat(settings.store().leaseTtlMs()).isEqualTo(6_000);
         assertThat(settings.administration().operatorKeySha256()).isEmpty();
         assertThat(settings.telemetry().logLevel()).isEqualTo("info");
         assertThat(settings.telemetry().otlpEndpoint()).isEmpty();
