--- a/bin/common.sh
+++ b/bin/common.sh
@@ -34,7 +34,7 @@
   require_maven
   echo "building ..." >&2
   (cd "$SKYLARKMAST_HOME" \
-    && mvn -q -B -DskipTests -Dspotless.check.skip -Dcheckstyle.skip package >&2)
+    && mvn -q -B -Dmaven.test.skip=true -Dspotless.check.skip -Dcheckstyle.skip package >&2)
   touch "$stamp"
 }
 
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/problem/ProblemReplyTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/problem/ProblemReplyTest.java
@@ -14,11 +14,10 @@
     @CsvSource({"0, 0", "1, 1", "1000, 1", "1001, 2"})
     void roundsTheTimeToComeBackUp(long retryAfterMs, String seconds) {
         HttpReply.Full reply =
-                (HttpReply.Full)
-                        new ProblemReply(503, "overloaded", "Overloaded", "queue is full")
-                                .withExecution(Execution.NOT_RUN)
-                                .withRetryAfterMs(retryAfterMs)
-                                .toReply();
+                new ProblemReply(503, "overloaded", "Overloaded", "queue is full")
+                        .withExecution(Execution.NOT_RUN)
+                        .withRetryAfterMs(retryAfterMs)
+                        .toReply();
         assertThat(reply.headers()).containsExactly("Retry-After", seconds);
         assertThat(new String(reply.body(), StandardCharsets.UTF_8))
                 .isEqualTo(
