--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/decision/DecisionBench.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/decision/DecisionBench.java
@@ -1,6 +1,5 @@
 package org.skylarkmast.bench.decision;
 
-import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -8,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.skylarkmast.bench.CommandLineUtil;
 import org.skylarkmast.core.json.JsonUtil;
 import org.skylarkmast.core.scheduling.Mechanism;
 
@@ -35,6 +35,9 @@
     @Parameter(names = "--html", description = "File to write a page with charts to")
     private String htmlFile = "";
 
+    @Parameter(names = "--help", help = true, description = "Print this text")
+    private boolean help;
+
     private final List<BenchRuns.Series> all = new ArrayList<>();
     private final PrintStream out;
 
@@ -45,12 +48,9 @@
     /** Runs the parts named on the command line. */
     public static void main(String[] arguments) throws IOException {
         DecisionBench bench = new DecisionBench(System.out);
-        JCommander.newBuilder()
-                .addObject(bench)
-                .programName("decision-bench")
-                .build()
-                .parse(arguments);
-        bench.run();
+        if (CommandLineUtil.parse("decision-bench", bench, () -> bench.help, arguments)) {
+            bench.run();
+        }
     }
 
     private void run() throws IOException {
