--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoMain.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoMain.java
@@ -27,10 +27,9 @@
                             caller,
                             owner -> {
                                 if (options.kill) {
-                                    System.out.println("killing the owner " + owner);
-                                    ProcessHandle.of(pids.get(owner))
-                                            .orElseThrow()
-                                            .destroyForcibly();
+                                    kill(
+                                            options.killNode.isEmpty() ? owner : options.killNode,
+                                            pids);
                                 }
                             },
                             Path.of(options.orderRecord),
@@ -42,4 +41,12 @@
             System.exit(1);
         }
     }
+
+    private static void kill(String node, Map<String, Long> pids) {
+        if (!pids.containsKey(node)) {
+            throw new DemoFailure("no daemon " + node + " among " + pids.keySet());
+        }
+        System.out.println("killing " + node);
+        ProcessHandle.of(pids.get(node)).orElseThrow().destroyForcibly();
+    }
 }
--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoOptions.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/demo/DemoOptions.java
@@ -21,9 +21,14 @@
             description = "The daemons as node=pid, separated by commas; used by --kill")
     List<String> daemons = new ArrayList<>();
 
-    @Parameter(names = "--kill", description = "Kill the program's owner between two turns")
+    @Parameter(names = "--kill", description = "Kill a daemon between two turns")
     boolean kill;
 
+    @Parameter(
+            names = "--kill-node",
+            description = "The daemon that --kill kills; the program's owner if not given")
+    String killNode = "";
+
     @Parameter(
             names = "--order-record",
             required = true,
