--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
@@ -21,13 +21,17 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.HttpProcessors;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
 import org.apache.hc.core5.http.impl.io.HttpRequestExecutor;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
 import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.protocol.RequestConnControl;
+import org.apache.hc.core5.http.protocol.RequestContent;
+import org.apache.hc.core5.http.protocol.RequestTargetHost;
+import org.apache.hc.core5.http.protocol.RequestUserAgent;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.util.Timeout;
 
@@ -43,7 +47,7 @@
     private final int maxIdlePerAddress;
     private final int connectTimeoutMs;
     private final HttpRequestExecutor executor = new HttpRequestExecutor();
-    private final HttpProcessor processor = HttpProcessors.client("skylarkmast");
+    private final HttpProcessor processor = processor();
     private final Map<String, Deque<IdleConnection>> idleByAddress = new ConcurrentHashMap<>();
 
     private record IdleConnection(DefaultBHttpClientConnection connection, long sinceNs) {}
@@ -155,6 +159,20 @@
         }
     }
 
+    /**
+     * HttpCore's usual one without the expectation of an interim answer: bodies are small, and a
+     * server that does not know it would hold each call back for seconds.
+     */
+    private static HttpProcessor processor() {
+        return HttpProcessorBuilder.create()
+                .addAll(
+                        RequestTargetHost.INSTANCE,
+                        RequestContent.INSTANCE,
+                        RequestConnControl.INSTANCE,
+                        new RequestUserAgent("skylarkmast"))
+                .build();
+    }
+
     private static ClassicHttpRequest message(HttpSend request, HttpHost host) {
         ClassicRequestBuilder builder =
                 ClassicRequestBuilder.create(request.method())
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/telemetry/KeyValueLayout.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/log/KeyValueLayout.java
@@ -1,4 +1,4 @@
-package org.skylarkmast.daemon.telemetry;
+package org.skylarkmast.log;
 
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.classic.spi.IThrowableProxy;
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/telemetry/KeyValueLayoutTest.java
+++ b/skylarkmast-http/src/test/java/org/skylarkmast/log/KeyValueLayoutTest.java
@@ -1,4 +1,4 @@
-package org.skylarkmast.daemon.telemetry;
+package org.skylarkmast.log;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -0,0 +1,339 @@
+package org.skylarkmast.relay.forward;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import org.skylarkmast.relay.http.CallerConnection;
+import org.skylarkmast.relay.http.Framing;
+import org.skylarkmast.relay.http.HeaderFields;
+import org.skylarkmast.relay.http.InboundRequest;
+import org.skylarkmast.relay.http.MalformedMessageException;
+import org.skylarkmast.relay.http.RunnerConnections;
+import org.skylarkmast.relay.ledger.ChainOutcome;
+import org.skylarkmast.relay.ledger.Reservation;
+import org.skylarkmast.relay.ledger.ReserveOutcome;
+import org.skylarkmast.relay.ledger.TurnLedger;
+import org.skylarkmast.relay.ledger.TurnRecord;
+import org.skylarkmast.relay.route.Route;
+import org.skylarkmast.relay.route.RouteKind;
+import org.skylarkmast.relay.route.RoutingConfiguration;
+import org.skylarkmast.relay.route.RoutingState;
+import org.skylarkmast.relay.route.TargetService;
+import org.skylarkmast.relay.runner.RunnerPool;
+
+/** Serves callers' requests, one at a time on each caller's thread; thread-safe. */
+public final class Forwarder {
+
+    /** Time for the answer to an expired request to leave before its connection is cut. */
+    private static final long CUT_AFTER_MS = 300;
+
+    /** Part of a turn's time that may pass while too few keepers answer. */
+    private static final int PATIENCE_DIVISOR = 3;
+
+    private static final long HELD_RETRY_MS = 250;
+    private static final long KEEPERS_RETRY_MS = 300;
+    private static final long NO_CONFIGURATION_RETRY_MS = 500;
+
+    private final RoutingState routing;
+    private final RunnerPool pool;
+    private final RunnerSend sender;
+    private final WireDialect dialect;
+    private final TurnLedger ledger;
+    private final RequestLog requestLog;
+    private final ExecutorService executor;
+    private final ScheduledExecutorService timers;
+    private final DoubleSupplier random;
+
+    /**
+     * @param executor runs ledger reads beside a reservation
+     * @param random uniform in [0, 1)
+     */
+    public Forwarder(
+            RoutingState routing,
+            RunnerPool pool,
+            RunnerConnections connections,
+            WireDialect dialect,
+            TurnLedger ledger,
+            RequestLog requestLog,
+            ExecutorService executor,
+            ScheduledExecutorService timers,
+            DoubleSupplier random) {
+        this.routing = routing;
+        this.pool = pool;
+        this.sender = new RunnerSend(connections, pool, dialect);
+        this.dialect = dialect;
+        this.ledger = ledger;
+        this.requestLog = requestLog;
+        this.executor = executor;
+        this.timers = timers;
+        this.random = random;
+    }
+
+    /**
+     * Serves one request whose body was read.
+     *
+     * @param close whether the connection ends with the answer
+     * @return whether the connection may serve another request
+     */
+    public boolean serve(
+            CallerConnection caller, InboundRequest request, byte[] body, boolean close)
+            throws InterruptedException {
+        RequestLog.Entry entry = new RequestLog.Entry(System.nanoTime());
+        RoutingConfiguration configuration = routing.current();
+        if (configuration == null) {
+            Refusal refusal =
+                    Refusal.notRun(NO_CONFIGURATION_RETRY_MS, "no configuration known yet");
+            return refuse(caller, "", refusal, close, entry);
+        }
+        entry.version = configuration.version();
+        CallMetadata call;
+        try {
+            call = dialect.read(request.fields());
+        } catch (MalformedMessageException e) {
+            return refuse(caller, "", Refusal.of(400, e.getMessage()), close, entry);
+        }
+        entry.requestId = call.requestId();
+        entry.program = call.program();
+        Route route = configuration.match(request.fields().first("Host"), request.path());
+        if (route == null) {
+            return refuse(caller, call.requestId(), Refusal.of(404, "no route"), close, entry);
+        }
+        entry.route = route.name();
+        long leftMs = route.timeoutMs();
+        if (call.deadlineMs() != CallMetadata.UNSET) {
+            leftMs = Math.min(leftMs, call.deadlineMs());
+        }
+        Exchange exchange =
+                new Exchange(caller, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(leftMs));
+        caller.watch(exchange::callerGone);
+        ScheduledFuture<?> expiry =
+                timers.schedule(() -> exchange.expire(false), leftMs, TimeUnit.MILLISECONDS);
+        ScheduledFuture<?> cut =
+                timers.schedule(
+                        () -> exchange.expire(true), leftMs + CUT_AFTER_MS, TimeUnit.MILLISECONDS);
+        try {
+            Turn turn =
+                    new Turn(caller, request, body, close, call, route, configuration, exchange);
+            return turn.serve(entry);
+        } finally {
+            exchange.end();
+            expiry.cancel(false);
+            cut.cancel(false);
+        }
+    }
+
+    private boolean refuse(
+            CallerConnection caller,
+            String requestId,
+            Refusal refusal,
+            boolean close,
+            RequestLog.Entry entry) {
+        HeaderFields fields =
+                dialect.ownAnswer(requestId).with("Content-Type", "text/plain; charset=utf-8");
+        if (refusal.retryAfterMs() != Refusal.NEVER) {
+            String seconds = String.format("%.3f", refusal.retryAfterMs() / 1000.0);
+            fields = fields.with("Retry-After", seconds);
+        }
+        entry.status = refusal.status();
+        entry.reason = refusal.reason();
+        try {
+            byte[] text = (refusal.reason() + "\n").getBytes(StandardCharsets.UTF_8);
+            caller.writeAnswer(refusal.status(), fields, text, close);
+            requestLog.ended("refused", entry);
+            return !close;
+        } catch (IOException e) {
+            requestLog.ended("refusal_unread", entry);
+            return false;
+        }
+    }
+
+    /** One request on its way; used by one thread. */
+    private final class Turn {
+        private final CallerConnection caller;
+        private final InboundRequest request;
+        private final byte[] input;
+        private final boolean close;
+        private final CallMetadata call;
+        private final Route route;
+        private final Exchange exchange;
+        private final TargetService target;
+        private final String service;
+
+        Turn(
+                CallerConnection caller,
+                InboundRequest request,
+                byte[] input,
+                boolean close,
+                CallMetadata call,
+                Route route,
+                RoutingConfiguration configuration,
+                Exchange exchange) {
+            this.caller = caller;
+            this.request = request;
+            this.input = input;
+            this.close = close;
+            this.call = call;
+            this.route = route;
+            this.exchange = exchange;
+            this.service = route.service(random.getAsDouble());
+            this.target = configuration.service(service);
+        }
+
+        boolean serve(RequestLog.Entry entry) throws InterruptedException {
+            entry.service = service;
+            boolean reserves = call.budgeted() && route.kind() == RouteKind.STREAM;
+            Future<ChainOutcome> chain = startChain();
+            Refusal refusal = reserves ? reserve(entry) : null;
+            byte[] body = input;
+            if (chain != null) {
+                ChainOutcome read = await(chain);
+                if (refusal == null) {
+                    switch (read) {
+                        case ChainOutcome.Found found -> {
+                            entry.chainLength = found.turns().size();
+                            body = join(found);
+                        }
+                        case ChainOutcome.Absent absent ->
+                                refusal = Refusal.of(404, "no such previous turn");
+                        case ChainOutcome.Uncertain uncertain ->
+                                refusal = Refusal.notRun(KEEPERS_RETRY_MS, "history not readable");
+                    }
+                    if (refusal != null && reserves) {
+                        settle(0);
+                    }
+                }
+            }
+            if (refusal != null) {
+                return refuse(caller, call.requestId(), refusal, close, entry);
+            }
+            return send(body, reserves, entry);
+        }
+
+        private Future<ChainOutcome> startChain() {
+            if (!route.keepsTurns() || call.previousTurn().isEmpty()) {
+                return null;
+            }
+            return executor.submit(() -> ledger.chain(call.previousTurn(), patienceMs()));
+        }
+
+        private ChainOutcome await(Future<ChainOutcome> chain) throws InterruptedException {
+            try {
+                return chain.get();
+            } catch (ExecutionException e) {
+                throw new IllegalStateException("reading a chain failed", e.getCause());
+            }
+        }
+
+        private Refusal reserve(RequestLog.Entry entry) throws InterruptedException {
+            Reservation claim =
+                    new Reservation(
+                            call.program(),
+                            call.requestId(),
+                            call.maxOutputTokens(),
+                            call.tokenBudget(),
+                            route.retentionMs());
+            ReserveOutcome outcome = ledger.reserve(claim, patienceMs());
+            entry.reservation = outcome.name();
+            return switch (outcome) {
+                case GRANTED -> null;
+                case HELD -> Refusal.notRun(HELD_RETRY_MS, "budget held by turns under way");
+                case EXHAUSTED -> Refusal.of(402, "token budget is spent");
+                case UNAVAILABLE -> Refusal.notRun(KEEPERS_RETRY_MS, "too few keepers answer");
+            };
+        }
+
+        private boolean send(byte[] body, boolean reserved, RequestLog.Entry entry)
+                throws InterruptedException {
+            boolean stream = route.kind() == RouteKind.STREAM;
+            int tokensPerEvent = target == null ? 1 : target.tokensPerEvent();
+            AnswerSink sink = new AnswerSink(caller, close, tokensPerEvent, route.keepsTurns());
+            RunnerSend.Outgoing outgoing =
+                    new RunnerSend.Outgoing(
+                            call.requestId(),
+                            request.method(),
+                            request.target(),
+                            Framing.endToEnd(request.fields()),
+                            body,
+                            route.priority(),
+                            stream ? Math.max(1, call.maxOutputTokens()) : 1,
+                            call.prompt(),
+                            stream,
+                            this::keep);
+            SendLoop loop = new SendLoop(pool, sender, route, service, outgoing, exchange, sink);
+            SendLoop.End end = loop.run();
+            entry.runner = loop.lastRunner();
+            entry.sends = loop.sends();
+            entry.tokens = sink.tokens();
+            boolean keptByAppend = sink.ended() && route.keepsTurns();
+            if (reserved && !keptByAppend) {
+                settle(sink.tokens());
+            }
+            return finish(end, sink, entry);
+        }
+
+        private boolean finish(SendLoop.End end, AnswerSink sink, RequestLog.Entry entry) {
+            if (end.refusal() != null && !sink.begun()) {
+                return refuse(caller, call.requestId(), end.refusal(), close, entry);
+            }
+            return switch (end.result()) {
+                case SendResult.Delivered delivered -> {
+                    entry.status = delivered.status();
+                    requestLog.ended("delivered", entry);
+                    yield !close;
+                }
+                case SendResult.CallerLost lost -> cut("caller_lost", lost.reason(), entry);
+                case SendResult.BrokenOff broken -> cut("broken_off", broken.reason(), entry);
+                case SendResult.MayHaveRun broken -> cut("broken_off", broken.reason(), entry);
+                case SendResult.NotRun notRun -> cut("broken_off", notRun.reason(), entry);
+            };
+        }
+
+        private boolean cut(String outcome, String reason, RequestLog.Entry entry) {
+            entry.reason = exchange.isExpired() ? "out of time: " + reason : reason;
+            requestLog.ended(outcome, entry);
+            caller.abort();
+            return false;
+        }
+
+        /** Keeps the turn before its answer may end. */
+        private boolean keep(AnswerSink sink) throws InterruptedException {
+            if (!route.keepsTurns()) {
+                return true;
+            }
+            TurnRecord record =
+                    new TurnRecord(
+                            call.requestId(),
+                            call.previousTurn(),
+                            input,
+                            sink.output(),
+                            route.retentionMs());
+            String program = call.budgeted() ? call.program() : "";
+            return ledger.append(program, record, sink.tokens(), Math.max(1, exchange.leftMs()));
+        }
+
+        private void settle(int tokens) {
+            ledger.settle(call.program(), call.requestId(), tokens, route.retentionMs());
+        }
+
+        private byte[] join(ChainOutcome.Found chain) {
+            ByteArrayOutputStream joined = new ByteArrayOutputStream();
+            for (TurnRecord turn : chain.turns()) {
+                joined.writeBytes(turn.input());
+                joined.writeBytes(turn.output());
+            }
+            joined.writeBytes(input);
+            return joined.toByteArray();
+        }
+
+        private long patienceMs() {
+            return Math.max(1, exchange.leftMs() / PATIENCE_DIVISOR);
+        }
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
@@ -0,0 +1,79 @@
+package org.skylarkmast.relay.forward;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Writes one line for each request that ended and counts it; thread-safe. */
+public final class RequestLog {
+    private static final Logger LOG = LoggerFactory.getLogger(RequestLog.class);
+    private static final double NS_PER_SECOND = 1e9;
+    private static final long NS_PER_MS = 1_000_000;
+
+    private final Counter requests;
+    private final Histogram seconds;
+
+    /** What is known of a request; filled in on its way. Used by one thread. */
+    static final class Entry {
+        final long startedNs;
+        String requestId = "";
+        String program = "";
+        String route = "";
+        String service = "";
+        String runner = "";
+        String reservation = "";
+        String reason = "";
+        long version;
+        int chainLength;
+        int sends;
+        int tokens;
+        int status;
+
+        Entry(long startedNs) {
+            this.startedNs = startedNs;
+        }
+    }
+
+    /** Registers its metrics with {@code registry}. */
+    public RequestLog(PrometheusRegistry registry) {
+        requests =
+                Counter.builder()
+                        .name("skylarkmast_requests_total")
+                        .help("Requests that ended, by outcome and status.")
+                        .labelNames("outcome", "status")
+                        .register(registry);
+        seconds =
+                Histogram.builder()
+                        .name("skylarkmast_request_seconds")
+                        .help("Time from a request's head to the end of its answer.")
+                        .classicUpperBounds(0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1, 2, 4, 10)
+                        .classicOnly()
+                        .labelNames("outcome")
+                        .register(registry);
+    }
+
+    void ended(String outcome, Entry entry) {
+        long tookNs = System.nanoTime() - entry.startedNs;
+        requests.labelValues(outcome, Integer.toString(entry.status)).inc();
+        seconds.labelValues(outcome).observe(tookNs / NS_PER_SECOND);
+        LOG.atInfo()
+                .addKeyValue("event", "request_ended")
+                .addKeyValue("request", entry.requestId)
+                .addKeyValue("outcome", outcome)
+                .addKeyValue("status", entry.status)
+                .addKeyValue("route", entry.route)
+                .addKeyValue("version", entry.version)
+                .addKeyValue("program", entry.program)
+                .addKeyValue("service", entry.service)
+                .addKeyValue("runner", entry.runner)
+                .addKeyValue("sends", entry.sends)
+                .addKeyValue("reservation", entry.reservation)
+                .addKeyValue("chain", entry.chainLength)
+                .addKeyValue("tokens", entry.tokens)
+                .addKeyValue("tookMs", tookNs / NS_PER_MS)
+                .addKeyValue("reason", entry.reason)
+                .log();
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendLoop.java
@@ -0,0 +1,164 @@
+package org.skylarkmast.relay.forward;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import org.skylarkmast.relay.route.Route;
+import org.skylarkmast.relay.runner.Runner;
+import org.skylarkmast.relay.runner.RunnerPool;
+
+/**
+ * Sends one request to runners until it is answered, must not be sent again or its time is over.
+ *
+ * <p>A request that may have run goes out again only where its route allows it, and to no more
+ * runners than the route's limit; runners that are gone do not count. Used by one thread.
+ */
+final class SendLoop {
+
+    /** Pause before runners that had no room are tried again. */
+    private static final long FULL_PAUSE_MS = 15;
+
+    /** Pause while a service has no usable runner. */
+    private static final long NO_RUNNER_PAUSE_MS = 30;
+
+    /** Sends of a repeatable request that may have run before it is given up. */
+    private static final int MAX_REPEATS = 3;
+
+    /** Sends in all, so that one request does not try forever against refusing runners. */
+    private static final int MAX_SENDS = 60;
+
+    private final RunnerPool pool;
+    private final RunnerSend sender;
+    private final Route route;
+    private final String service;
+    private final RunnerSend.Outgoing request;
+    private final Exchange exchange;
+    private final AnswerSink sink;
+
+    /** Runners that may have run the request, by incarnation. */
+    private final Map<String, Runner> used = new LinkedHashMap<>();
+
+    private final Set<String> excluded = new HashSet<>();
+    private String lastRunner = "";
+    private int sends;
+    private int repeats;
+
+    SendLoop(
+            RunnerPool pool,
+            RunnerSend sender,
+            Route route,
+            String service,
+            RunnerSend.Outgoing request,
+            Exchange exchange,
+            AnswerSink sink) {
+        this.pool = pool;
+        this.sender = sender;
+        this.route = route;
+        this.service = service;
+        this.request = request;
+        this.exchange = exchange;
+        this.sink = sink;
+    }
+
+    /** The result of all sends; a refusal is set if the caller gets an answer of our own. */
+    record End(SendResult result, Refusal refusal) {}
+
+    String lastRunner() {
+        return lastRunner;
+    }
+
+    int sends() {
+        return sends;
+    }
+
+    /** Whether a runner may have begun to work on the request. */
+    boolean mayHaveRun() {
+        return !used.isEmpty();
+    }
+
+    End run() throws InterruptedException {
+        SendResult last = new SendResult.NotRun(false, "not sent");
+        while (true) {
+            if (exchange.isCallerGone()) {
+                return new End(new SendResult.CallerLost("caller closed"), null);
+            }
+            if (exchange.isExpired() || sends >= MAX_SENDS) {
+                return new End(last, outOfTime(last));
+            }
+            Runner runner = choose();
+            if (runner == null) {
+                pauseForRunner();
+                continue;
+            }
+            sends++;
+            lastRunner = runner.id();
+            last = sender.send(request, runner, exchange, sink);
+            End end = judge(last, runner);
+            if (end != null) {
+                return end;
+            }
+        }
+    }
+
+    /** Decides whether {@code result} ends the request. */
+    private End judge(SendResult result, Runner runner) {
+        return switch (result) {
+            case SendResult.Delivered delivered -> new End(delivered, null);
+            case SendResult.CallerLost lost -> {
+                used.put(runner.incarnation(), runner);
+                yield new End(lost, null);
+            }
+            case SendResult.NotRun notRun -> {
+                excluded.add(runner.incarnation());
+                yield null;
+            }
+            case SendResult.MayHaveRun mayHaveRun -> {
+                used.put(runner.incarnation(), runner);
+                yield mayRepeat()
+                        ? null
+                        : new End(mayHaveRun, Refusal.mayHaveRun(mayHaveRun.reason()));
+            }
+            case SendResult.BrokenOff brokenOff -> {
+                used.put(runner.incarnation(), runner);
+                boolean goesOn = mayRepeat() && !sink.lastEventId().isEmpty();
+                yield goesOn ? null : new End(brokenOff, null);
+            }
+        };
+    }
+
+    private boolean mayRepeat() {
+        repeats++;
+        return route.repeatable() && repeats <= MAX_REPEATS && !exchange.isOver();
+    }
+
+    private Runner choose() {
+        used.values().removeIf(runner -> !pool.registered(runner));
+        if (used.size() >= route.maxAttempts()) {
+            for (Runner runner : used.values()) {
+                if (!excluded.contains(runner.incarnation())) {
+                    return runner;
+                }
+            }
+            // It cannot be reached any more, so it counts as ended.
+            if (!used.isEmpty() && excluded.containsAll(used.keySet())) {
+                used.clear();
+            }
+        }
+        return pool.choose(service, request.units(), request.prompt(), excluded, false);
+    }
+
+    private void pauseForRunner() throws InterruptedException {
+        boolean any = pool.hasRunners(service);
+        exchange.pause(any ? FULL_PAUSE_MS : NO_RUNNER_PAUSE_MS);
+        excluded.clear();
+    }
+
+    private Refusal outOfTime(SendResult last) {
+        if (mayHaveRun()) {
+            return Refusal.timedOut("no answer in time");
+        }
+        String reason = last instanceof SendResult.NotRun notRun ? notRun.reason() : "no time left";
+        return Refusal.notRun(100, reason);
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/Reasons.java
@@ -0,0 +1,15 @@
+package org.skylarkmast.relay.http;
+
+import java.util.Locale;
+import org.apache.hc.core5.http.impl.EnglishReasonPhraseCatalog;
+
+/** Reason phrases of status lines. */
+final class Reasons {
+
+    private Reasons() {}
+
+    static String of(int status) {
+        String reason = EnglishReasonPhraseCatalog.INSTANCE.getReason(status, Locale.ENGLISH);
+        return reason == null ? "Unknown" : reason;
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
@@ -0,0 +1,156 @@
+package org.skylarkmast.relay.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.ChunkedInputStream;
+import org.apache.hc.core5.http.impl.io.ContentLengthInputStream;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
+import org.apache.hc.core5.http.impl.io.IdentityInputStream;
+
+/**
+ * A connection to a runner, for one exchange at a time.
+ *
+ * <p>Owned by one thread; {@link #abort} may be called by any.
+ */
+public final class RunnerConnection {
+    private static final int MAX_HEAD_BYTES = 65_536;
+    private static final Http1Config LIMITS =
+            Http1Config.custom().setMaxHeaderCount(200).setMaxEmptyLineCount(1).build();
+
+    private final Socket socket;
+    private final WatchedInput input;
+    private final OutputStream output;
+
+    private RunnerConnection(Socket socket) throws IOException {
+        this.socket = socket;
+        this.input = new WatchedInput(socket.getInputStream(), MAX_HEAD_BYTES, false);
+        this.output = socket.getOutputStream();
+    }
+
+    /**
+     * Opens a connection.
+     *
+     * @param address {@code host:port}
+     * @throws IOException if none is established within {@code timeoutMs}
+     */
+    public static RunnerConnection open(String address, int timeoutMs) throws IOException {
+        int colon = address.lastIndexOf(':');
+        Socket socket = new Socket();
+        try {
+            socket.setTcpNoDelay(true);
+            socket.connect(
+                    new InetSocketAddress(
+                            address.substring(0, colon),
+                            Integer.parseInt(address.substring(colon + 1))),
+                    timeoutMs);
+            return new RunnerConnection(socket);
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
+    }
+
+    /** Writes a request whole. */
+    public void send(String method, String target, HeaderFields fields, byte[] body)
+            throws IOException {
+        ByteArrayOutputStream message = new ByteArrayOutputStream(512 + body.length);
+        StringBuilder head = new StringBuilder(512);
+        head.append(method).append(' ').append(target).append(" HTTP/1.1\r\n");
+        for (HeaderFields.Field field : fields.fields()) {
+            head.append(field.name()).append(": ").append(field.value()).append("\r\n");
+        }
+        if (body.length > 0 || method.equals("POST") || method.equals("PUT")) {
+            head.append("Content-Length: ").append(body.length).append("\r\n");
+        }
+        head.append("\r\n");
+        message.writeBytes(head.toString().getBytes(StandardCharsets.ISO_8859_1));
+        message.writeBytes(body);
+        message.writeTo(output);
+        output.flush();
+    }
+
+    /** Reads the head of the next answer, leaving out interim ones. */
+    public RunnerAnswer readHead(String requestMethod) throws IOException {
+        while (true) {
+            RunnerAnswer answer = readOneHead(requestMethod);
+            if (answer.status() >= 200) {
+                return answer;
+            }
+        }
+    }
+
+    private RunnerAnswer readOneHead(String requestMethod) throws IOException {
+        input.beginHead();
+        ClassicHttpResponse parsed;
+        try {
+            parsed =
+                    new DefaultHttpResponseParser(LIMITS)
+                            .parse(input, InputStream.nullInputStream());
+        } catch (HttpException e) {
+            throw new MalformedMessageException(String.valueOf(e.getMessage()));
+        }
+        input.endHead();
+        if (parsed == null) {
+            throw new IOException("connection ended before an answer");
+        }
+        List<HeaderFields.Field> fields = new ArrayList<>();
+        for (Header header : parsed.getHeaders()) {
+            String value = header.getValue() == null ? "" : header.getValue();
+            fields.add(new HeaderFields.Field(header.getName(), value));
+        }
+        HeaderFields all = new HeaderFields(fields);
+        int status = parsed.getCode();
+        boolean bodyless =
+                status < 200 || status == 204 || status == 304 || requestMethod.equals("HEAD");
+        Framing framing =
+                bodyless ? new Framing.Empty() : Framing.of(all, new Framing.UntilClose());
+        boolean persistent =
+                HttpVersion.HTTP_1_1.equals(parsed.getVersion())
+                        && !all.lists("Connection", "close")
+                        && !(framing instanceof Framing.UntilClose);
+        return new RunnerAnswer(status, all, framing, persistent);
+    }
+
+    /** The body of {@code answer}; it fails if the body ends early. */
+    public InputStream body(RunnerAnswer answer) {
+        InputStream unused = InputStream.nullInputStream();
+        return switch (answer.framing()) {
+            case Framing.Empty empty -> unused;
+            case Framing.Length length ->
+                    new ContentLengthInputStream(input, unused, length.bytes());
+            case Framing.Chunked chunked -> new ChunkedInputStream(input, unused, LIMITS);
+            case Framing.UntilClose untilClose -> new IdentityInputStream(input, unused);
+        };
+    }
+
+    /** Watches an idle connection, so that bytes or its end are noticed before the next use. */
+    void watchIdle() {
+        input.watch(() -> {}, () -> {});
+    }
+
+    /** Whether nothing was received since the last answer ended. */
+    boolean fit() {
+        return input.quiet();
+    }
+
+    /** Closes the connection, which makes the runner stop; any thread may call it. */
+    public void abort() {
+        try {
+            socket.close();
+        } catch (IOException ignored) {
+            // Nothing is left to release.
+        }
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/keeper/KeeperHandler.java
@@ -0,0 +1,206 @@
+package org.skylarkmast.relay.keeper;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.skylarkmast.http.HttpCall;
+import org.skylarkmast.http.HttpHandler;
+import org.skylarkmast.http.HttpReply;
+import org.skylarkmast.relay.ledger.KeeperClient;
+import org.skylarkmast.relay.ledger.KeeperView;
+import org.skylarkmast.relay.ledger.LedgerCodec;
+import org.skylarkmast.relay.ledger.LedgerOperation;
+import org.skylarkmast.relay.ledger.TurnRecord;
+import org.skylarkmast.relay.ledger.Usage;
+import org.skylarkmast.relay.ledger.ViewHolder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Answers the calls of entry hosts and other keepers; thread-safe. */
+public final class KeeperHandler implements HttpHandler {
+    private static final Logger LOG = LoggerFactory.getLogger(KeeperHandler.class);
+    private static final String PREFIX = "/ledger/";
+    private static final int UNAVAILABLE = 503;
+
+    /** Longest wait for the disk; entry hosts give up earlier. */
+    private static final long DISK_TIMEOUT_MS = 2000;
+
+    /** Most text bytes returned by one fetch, so that a call stays short. */
+    private static final int FETCH_BYTES = 1 << 20;
+
+    private final KeeperIndex index;
+    private final KeeperMembership membership;
+    private final ViewHolder views;
+
+    /** Creates a handler over {@code index}. */
+    public KeeperHandler(KeeperIndex index, KeeperMembership membership, ViewHolder views) {
+        this.index = index;
+        this.membership = membership;
+        this.views = views;
+    }
+
+    @Override
+    public HttpReply handle(HttpCall call) {
+        LedgerOperation operation = operation(call.path());
+        if (operation == null) {
+            return HttpReply.text(404, "no such operation\n");
+        }
+        try {
+            if (operation == LedgerOperation.PING) {
+                views.offer(LedgerCodec.decode(call.body(), LedgerCodec::readView));
+                return reply(membership.status()::write);
+            }
+            long version = Long.parseLong(call.query().getOrDefault("view", "0"));
+            KeeperView view = views.current();
+            if (version < view.version()) {
+                return new HttpReply.Full(
+                        KeeperClient.NEWER_VIEW,
+                        Map.of(),
+                        KeeperClient.MEDIA_TYPE,
+                        LedgerCodec.encode(out -> LedgerCodec.writeView(out, view)));
+            }
+            if (version > view.version() || !mayAnswer(operation)) {
+                return HttpReply.text(UNAVAILABLE, "not part of view " + version + "\n");
+            }
+            return LedgerCodec.decode(call.body(), in -> answer(operation, in));
+        } catch (IOException | NumberFormatException e) {
+            return failed(operation, e);
+        }
+    }
+
+    /** A keeper that left a view still hands its copies to those that stay. */
+    private boolean mayAnswer(LedgerOperation operation) {
+        return switch (operation) {
+            case SUMMARY, FETCH -> membership.complete();
+            case RESERVE, USAGE, SETTLE, APPEND, CHAIN, PING -> membership.voting();
+        };
+    }
+
+    private HttpReply answer(LedgerOperation operation, DataInputStream in) throws IOException {
+        return switch (operation) {
+            case RESERVE -> reserve(in);
+            case USAGE -> {
+                String program = in.readUTF();
+                yield reply(out -> LedgerCodec.writeUsages(out, index.usages(program)));
+            }
+            case SETTLE -> {
+                settle(in);
+                yield reply(out -> out.writeBoolean(true));
+            }
+            case APPEND -> {
+                CompletableFuture<Void> kept = index.putTurn(LedgerCodec.readTurn(in));
+                settle(in);
+                onDisk(kept);
+                yield reply(out -> out.writeBoolean(true));
+            }
+            case CHAIN -> {
+                KeeperIndex.Chain chain = index.chain(in.readUTF());
+                yield reply(out -> writeChain(out, chain));
+            }
+            case SUMMARY -> reply(this::writeSummary);
+            case FETCH -> fetch(in);
+            case PING -> reply(membership.status()::write);
+        };
+    }
+
+    private HttpReply reserve(DataInputStream in) throws IOException {
+        String program = in.readUTF();
+        Usage usage = new Usage(in.readUTF(), in.readInt(), false);
+        onDisk(index.putUsage(program, usage, in.readLong(), true));
+        return reply(out -> LedgerCodec.writeUsages(out, index.usages(program)));
+    }
+
+    /** The final count is not waited for: without it the most that was reserved stays counted. */
+    private void settle(DataInputStream in) throws IOException {
+        String program = in.readUTF();
+        Usage usage = new Usage(in.readUTF(), in.readInt(), true);
+        long retentionMs = in.readLong();
+        if (!program.isEmpty()) {
+            var _ = index.putUsage(program, usage, retentionMs, false);
+        }
+    }
+
+    private HttpReply fetch(DataInputStream in) throws IOException {
+        int count = in.readInt();
+        List<TurnRecord> turns = new ArrayList<>();
+        int bytes = 0;
+        for (int i = 0; i < count && bytes < FETCH_BYTES; i++) {
+            TurnRecord turn = index.turn(in.readUTF());
+            if (turn != null) {
+                turns.add(turn);
+                bytes += turn.input().length + turn.output().length;
+            }
+        }
+        return reply(out -> writeTurns(out, turns));
+    }
+
+    private void writeSummary(DataOutputStream out) throws IOException {
+        List<String> ids = List.copyOf(index.turnIds());
+        out.writeInt(ids.size());
+        for (String id : ids) {
+            out.writeUTF(id);
+        }
+        List<KeeperIndex.ProgramUsage> usages = index.allUsages();
+        out.writeInt(usages.size());
+        for (KeeperIndex.ProgramUsage usage : usages) {
+            out.writeUTF(usage.program());
+            LedgerCodec.writeUsages(out, List.of(usage.usage()));
+            out.writeLong(usage.retentionMs());
+        }
+    }
+
+    private static void writeChain(DataOutputStream out, KeeperIndex.Chain chain)
+            throws IOException {
+        out.writeBoolean(chain.complete());
+        writeTurns(out, chain.turns());
+    }
+
+    private static void writeTurns(DataOutputStream out, List<TurnRecord> turns)
+            throws IOException {
+        out.writeInt(turns.size());
+        for (TurnRecord turn : turns) {
+            LedgerCodec.writeTurn(out, turn);
+        }
+    }
+
+    private static void onDisk(CompletableFuture<Void> written) throws IOException {
+        try {
+            written.get(DISK_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IOException("not on disk", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    private static HttpReply reply(LedgerCodec.Writer writer) {
+        return new HttpReply.Full(
+                200, Map.of(), KeeperClient.MEDIA_TYPE, LedgerCodec.encode(writer));
+    }
+
+    private static HttpReply failed(LedgerOperation operation, Exception cause) {
+        LOG.atWarn()
+                .addKeyValue("event", "ledger_call_failed")
+                .addKeyValue("operation", operation)
+                .setCause(cause)
+                .log();
+        return HttpReply.text(UNAVAILABLE, "failed\n");
+    }
+
+    private static LedgerOperation operation(String path) {
+        for (LedgerOperation operation : LedgerOperation.values()) {
+            if (path.equals(PREFIX + operation.path())) {
+                return operation;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/keeper/KeeperRegistry.java
@@ -0,0 +1,32 @@
+package org.skylarkmast.relay.keeper;
+
+import java.util.List;
+import java.util.Set;
+import org.skylarkmast.relay.ledger.KeeperView;
+
+/** What keepers agree on outside themselves: who is there, who is to leave, which view holds. */
+public interface KeeperRegistry {
+
+    /**
+     * Publishes the view after {@code before}.
+     *
+     * @return whether it was published; if not, another one may have been
+     */
+    boolean publish(KeeperView before, KeeperView next);
+
+    /** Registered keepers. */
+    List<KeeperView.Member> registered();
+
+    /** Nodes that operators want emptied. */
+    Set<String> retiring();
+
+    /**
+     * Reports how far the emptying of {@code node} is.
+     *
+     * @return whether the report was taken
+     */
+    boolean reportRetirement(String node, boolean done);
+
+    /** Whether views were read, so that an absent one does not exist. */
+    boolean viewKnown();
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/KeeperClient.java
@@ -0,0 +1,80 @@
+package org.skylarkmast.relay.ledger;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.skylarkmast.http.HttpClient;
+import org.skylarkmast.http.HttpOutcome;
+import org.skylarkmast.http.HttpSend;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Calls one keeper; thread-safe. */
+public final class KeeperClient {
+    private static final Logger LOG = LoggerFactory.getLogger(KeeperClient.class);
+
+    /** Media type of ledger messages. */
+    public static final String MEDIA_TYPE = "application/x-skylarkmast-ledger";
+
+    /** Status of an answer that carries a newer view instead of a result. */
+    public static final int NEWER_VIEW = 409;
+
+    private final HttpClient http;
+    private final Consumer<KeeperView> onView;
+
+    /**
+     * @param onView told of views that keepers answer with
+     */
+    public KeeperClient(HttpClient http, Consumer<KeeperView> onView) {
+        this.http = http;
+        this.onView = onView;
+    }
+
+    /**
+     * Calls {@code operation} at {@code member}.
+     *
+     * @return the answer, or null if the keeper did not take part
+     */
+    public <T> T call(
+            KeeperView.Member member,
+            long viewVersion,
+            LedgerOperation operation,
+            byte[] body,
+            long timeoutMs,
+            LedgerCodec.Reader<T> reader) {
+        HttpSend send =
+                new HttpSend(
+                        member.address(),
+                        "POST",
+                        "/ledger/" + operation.path() + "?view=" + viewVersion,
+                        Map.of("Content-Type", MEDIA_TYPE),
+                        body,
+                        timeoutMs,
+                        false);
+        HttpOutcome outcome = http.send(send);
+        String reason;
+        try {
+            if (outcome instanceof HttpOutcome.Answered answered) {
+                if (answered.status() == 200) {
+                    return LedgerCodec.decode(answered.body(), reader);
+                }
+                if (answered.status() == NEWER_VIEW) {
+                    onView.accept(LedgerCodec.decode(answered.body(), LedgerCodec::readView));
+                }
+                reason = "status " + answered.status();
+            } else {
+                reason = outcome.toString();
+            }
+        } catch (IOException e) {
+            reason = "unreadable answer: " + e.getMessage();
+        }
+        LOG.atDebug()
+                .addKeyValue("event", "keeper_call_failed")
+                .addKeyValue("keeper", member.node())
+                .addKeyValue("operation", operation)
+                .addKeyValue("view", viewVersion)
+                .addKeyValue("reason", reason)
+                .log();
+        return null;
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
@@ -0,0 +1,344 @@
+package org.skylarkmast.relay.ledger;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Reads and writes the ledger through the keepers of the view in force; thread-safe. */
+public final class LedgerClient implements TurnLedger {
+    private static final Logger LOG = LoggerFactory.getLogger(LedgerClient.class);
+
+    /** Longest wait for one keeper; a sync takes a few ms, a silent connection never answers. */
+    private static final long CALL_TIMEOUT_MS = 400;
+
+    /** Wait for the slower keepers after a quorum answered, which saves a second round. */
+    private static final long STRAGGLER_MS = 12;
+
+    /** Time for which a keeper that failed is not waited for beyond the quorum. */
+    private static final long SUSPECT_MS = 2000;
+
+    private static final long RETRY_PAUSE_MS = 40;
+    private static final int SETTLE_ROUNDS = 4;
+
+    private final ViewHolder views;
+    private final KeeperClient keepers;
+    private final String ownFailureDomainAddressHint;
+    private final ExecutorService executor;
+    private final Map<String, Long> suspectedUntilNs = new ConcurrentHashMap<>();
+
+    /** Two rounds of a reservation: what a keeper reports. */
+    private record Report(List<Usage> usages) {}
+
+    /**
+     * @param nearby text that the address of keepers in this host's network starts with; they are
+     *     read first
+     * @param executor runs calls in parallel
+     */
+    public LedgerClient(
+            ViewHolder views, KeeperClient keepers, String nearby, ExecutorService executor) {
+        this.views = views;
+        this.keepers = keepers;
+        this.ownFailureDomainAddressHint = nearby;
+        this.executor = executor;
+    }
+
+    @Override
+    public ReserveOutcome reserve(Reservation claim, long patienceMs) throws InterruptedException {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(patienceMs);
+        ReserveOutcome outcome = ReserveOutcome.UNAVAILABLE;
+        while (outcome == ReserveOutcome.UNAVAILABLE) {
+            outcome = tryReserve(claim);
+            if (outcome != ReserveOutcome.UNAVAILABLE || System.nanoTime() - endNs >= 0) {
+                break;
+            }
+            Thread.sleep(RETRY_PAUSE_MS);
+        }
+        if (outcome != ReserveOutcome.GRANTED) {
+            settle(claim.program(), claim.attempt(), 0, claim.retentionMs());
+        }
+        return outcome;
+    }
+
+    private ReserveOutcome tryReserve(Reservation claim) throws InterruptedException {
+        KeeperView view = views.current();
+        int all = view.members().size();
+        if (all == 0) {
+            return ReserveOutcome.UNAVAILABLE;
+        }
+        byte[] body =
+                LedgerCodec.encode(
+                        out -> {
+                            out.writeUTF(claim.program());
+                            out.writeUTF(claim.attempt());
+                            out.writeInt(claim.maxTokens());
+                            out.writeLong(claim.retentionMs());
+                        });
+        List<Report> written =
+                gather(view, LedgerOperation.RESERVE, body, LedgerClient::readReport, true);
+        if (written.size() < view.writeQuorum()) {
+            return ReserveOutcome.UNAVAILABLE;
+        }
+        List<Report> read = written;
+        if (written.size() < all) {
+            // Not all keepers ordered this claim against the others, so look once more: of several
+            // claims the one written last sees the rest.
+            byte[] program = LedgerCodec.encode(out -> out.writeUTF(claim.program()));
+            read = gather(view, LedgerOperation.USAGE, program, LedgerClient::readReport, false);
+            if (read.size() < view.writeQuorum()) {
+                return ReserveOutcome.UNAVAILABLE;
+            }
+        }
+        List<List<Usage>> reports = read.stream().map(Report::usages).toList();
+        return switch (BudgetRule.decide(
+                reports, claim.attempt(), claim.maxTokens(), claim.budget())) {
+            case GRANTED -> ReserveOutcome.GRANTED;
+            case HELD -> ReserveOutcome.HELD;
+            case EXHAUSTED -> ReserveOutcome.EXHAUSTED;
+        };
+    }
+
+    @Override
+    public void settle(String program, String attempt, int tokens, long retentionMs) {
+        byte[] body = settlement(program, attempt, tokens, retentionMs);
+        executor.execute(
+                () -> {
+                    try {
+                        for (int round = 0; round < SETTLE_ROUNDS; round++) {
+                            KeeperView view = views.current();
+                            List<Boolean> taken =
+                                    gather(view, LedgerOperation.SETTLE, body, _ -> true, true);
+                            if (taken.size() >= view.writeQuorum()) {
+                                return;
+                            }
+                            Thread.sleep(RETRY_PAUSE_MS << round);
+                        }
+                        LOG.atWarn()
+                                .addKeyValue("event", "settlement_lost")
+                                .addKeyValue("program", program)
+                                .addKeyValue("request", attempt)
+                                .addKeyValue("tokens", tokens)
+                                .log();
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                });
+    }
+
+    @Override
+    public boolean append(String program, TurnRecord turn, int tokens, long patienceMs)
+            throws InterruptedException {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(patienceMs);
+        byte[] body =
+                LedgerCodec.encode(
+                        out -> {
+                            LedgerCodec.writeTurn(out, turn);
+                            out.write(settlement(program, turn.id(), tokens, turn.retentionMs()));
+                        });
+        while (true) {
+            KeeperView view = views.current();
+            List<Boolean> kept = gather(view, LedgerOperation.APPEND, body, _ -> true, false);
+            if (!view.members().isEmpty() && kept.size() >= view.writeQuorum()) {
+                return true;
+            }
+            if (System.nanoTime() - endNs >= 0) {
+                return false;
+            }
+            Thread.sleep(RETRY_PAUSE_MS);
+        }
+    }
+
+    @Override
+    public ChainOutcome chain(String turnId, long patienceMs) throws InterruptedException {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(patienceMs);
+        List<TurnRecord> newestFirst = new ArrayList<>();
+        String wanted = turnId;
+        while (true) {
+            ChainPart part = readPart(wanted);
+            newestFirst.addAll(part.turns());
+            if (part.complete()) {
+                return new ChainOutcome.Found(newestFirst.reversed());
+            }
+            if (!part.turns().isEmpty()) {
+                wanted = part.turns().getLast().previous();
+                continue;
+            }
+            if (part.certainlyAbsent()) {
+                if (newestFirst.isEmpty()) {
+                    return new ChainOutcome.Absent();
+                }
+                LOG.atError()
+                        .addKeyValue("event", "chain_broken")
+                        .addKeyValue("turn", turnId)
+                        .addKeyValue("missing", wanted)
+                        .log();
+                return new ChainOutcome.Uncertain();
+            }
+            if (System.nanoTime() - endNs >= 0) {
+                return new ChainOutcome.Uncertain();
+            }
+            Thread.sleep(RETRY_PAUSE_MS);
+        }
+    }
+
+    /**
+     * A stretch of a chain.
+     *
+     * @param turns newest first
+     * @param complete whether it reaches the chain's start
+     * @param certainlyAbsent whether enough keepers know of no such turn
+     */
+    private record ChainPart(List<TurnRecord> turns, boolean complete, boolean certainlyAbsent) {}
+
+    private ChainPart readPart(String turnId) throws InterruptedException {
+        KeeperView view = views.current();
+        byte[] body = LedgerCodec.encode(out -> out.writeUTF(turnId));
+        List<KeeperView.Member> order = nearestFirst(view);
+        int absent = 0;
+        for (int i = 0; i < order.size(); i++) {
+            List<KeeperView.Member> asked =
+                    i == 0 ? List.of(order.get(0)) : order.subList(1, order.size());
+            List<ChainPart> parts =
+                    gatherFrom(
+                            asked,
+                            view,
+                            LedgerOperation.CHAIN,
+                            body,
+                            LedgerClient::readPart,
+                            false,
+                            asked.size());
+            for (ChainPart part : parts) {
+                if (!part.turns().isEmpty()) {
+                    return part;
+                }
+                absent++;
+            }
+            if (i == 1) {
+                break;
+            }
+        }
+        boolean certain = !order.isEmpty() && absent >= view.certaintyQuorum();
+        return new ChainPart(List.of(), false, certain);
+    }
+
+    private List<KeeperView.Member> nearestFirst(KeeperView view) {
+        List<KeeperView.Member> order = new ArrayList<>(view.members());
+        order.sort(
+                java.util.Comparator.comparing(
+                        member ->
+                                (suspected(member) ? 2 : 0)
+                                        + (member.address().startsWith(ownFailureDomainAddressHint)
+                                                ? 0
+                                                : 1)));
+        return order;
+    }
+
+    private <T> List<T> gather(
+            KeeperView view,
+            LedgerOperation operation,
+            byte[] body,
+            LedgerCodec.Reader<T> reader,
+            boolean wantAll)
+            throws InterruptedException {
+        return gatherFrom(
+                view.members(), view, operation, body, reader, wantAll, view.writeQuorum());
+    }
+
+    private <T> List<T> gatherFrom(
+            List<KeeperView.Member> members,
+            KeeperView view,
+            LedgerOperation operation,
+            byte[] body,
+            LedgerCodec.Reader<T> reader,
+            boolean wantAll,
+            int enough)
+            throws InterruptedException {
+        Gathering<T> gathering = new Gathering<>(members.size());
+        for (KeeperView.Member member : members) {
+            executor.execute(
+                    () -> {
+                        T answer = null;
+                        try {
+                            answer =
+                                    keepers.call(
+                                            member,
+                                            view.version(),
+                                            operation,
+                                            body,
+                                            CALL_TIMEOUT_MS,
+                                            reader);
+                        } finally {
+                            note(member, answer != null);
+                            gathering.ended(answer);
+                        }
+                    });
+        }
+        List<T> answers = gathering.await(enough, CALL_TIMEOUT_MS * 2);
+        int all = members.size();
+        if (wantAll && answers.size() < all) {
+            int expected = 0;
+            for (KeeperView.Member member : members) {
+                expected += suspected(member) ? 0 : 1;
+            }
+            if (answers.size() < expected) {
+                answers = gathering.await(expected, STRAGGLER_MS);
+            }
+        }
+        return answers;
+    }
+
+    private boolean suspected(KeeperView.Member member) {
+        Long until = suspectedUntilNs.get(member.address());
+        return until != null && System.nanoTime() - until < 0;
+    }
+
+    private void note(KeeperView.Member member, boolean answered) {
+        if (answered) {
+            if (suspectedUntilNs.remove(member.address()) != null) {
+                log("keeper_regained", member);
+            }
+        } else {
+            Long before =
+                    suspectedUntilNs.put(
+                            member.address(),
+                            System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SUSPECT_MS));
+            if (before == null) {
+                log("keeper_lost", member);
+            }
+        }
+    }
+
+    private static void log(String event, KeeperView.Member member) {
+        LOG.atWarn().addKeyValue("event", event).addKeyValue("keeper", member).log();
+    }
+
+    private static byte[] settlement(String program, String attempt, int tokens, long retentionMs) {
+        return LedgerCodec.encode(
+                out -> {
+                    out.writeUTF(program);
+                    out.writeUTF(attempt);
+                    out.writeInt(tokens);
+                    out.writeLong(retentionMs);
+                });
+    }
+
+    private static Report readReport(DataInputStream in) throws IOException {
+        return new Report(LedgerCodec.readUsages(in));
+    }
+
+    private static ChainPart readPart(DataInputStream in) throws IOException {
+        boolean complete = in.readBoolean();
+        int count = in.readInt();
+        List<TurnRecord> turns = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            turns.add(LedgerCodec.readTurn(in));
+        }
+        return new ChainPart(turns, complete, false);
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerCodec.java
@@ -0,0 +1,128 @@
+package org.skylarkmast.relay.ledger;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The binary form of ledger messages and log entries, by the JDK's data streams. */
+public final class LedgerCodec {
+
+    /** Longest text accepted, so that a corrupt length cannot take all memory. */
+    private static final int MAX_BYTES = 64 << 20;
+
+    private LedgerCodec() {}
+
+    /** Writes one message. */
+    @FunctionalInterface
+    public interface Writer {
+
+        /** Writes to {@code out}. */
+        void write(DataOutputStream out) throws IOException;
+    }
+
+    /** Reads one message. */
+    @FunctionalInterface
+    public interface Reader<T> {
+
+        /** Reads from {@code in}. */
+        T read(DataInputStream in) throws IOException;
+    }
+
+    /** The bytes that {@code writer} writes. */
+    public static byte[] encode(Writer writer) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (DataOutputStream out = new DataOutputStream(bytes)) {
+            writer.write(out);
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory failed", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /**
+     * Reads what {@code reader} reads.
+     *
+     * @throws IOException if the bytes are not such a message
+     */
+    public static <T> T decode(byte[] bytes, Reader<T> reader) throws IOException {
+        try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+            return reader.read(in);
+        }
+    }
+
+    /** Writes a turn. */
+    public static void writeTurn(DataOutputStream out, TurnRecord turn) throws IOException {
+        out.writeUTF(turn.id());
+        out.writeUTF(turn.previous());
+        writeBytes(out, turn.input());
+        writeBytes(out, turn.output());
+        out.writeLong(turn.retentionMs());
+    }
+
+    /** Reads a turn. */
+    public static TurnRecord readTurn(DataInputStream in) throws IOException {
+        return new TurnRecord(
+                in.readUTF(), in.readUTF(), readBytes(in), readBytes(in), in.readLong());
+    }
+
+    /** Writes usages. */
+    public static void writeUsages(DataOutputStream out, List<Usage> usages) throws IOException {
+        out.writeInt(usages.size());
+        for (Usage usage : usages) {
+            out.writeUTF(usage.attempt());
+            out.writeInt(usage.tokens());
+            out.writeBoolean(usage.settled());
+        }
+    }
+
+    /** Reads usages. */
+    public static List<Usage> readUsages(DataInputStream in) throws IOException {
+        int count = in.readInt();
+        List<Usage> usages = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            usages.add(new Usage(in.readUTF(), in.readInt(), in.readBoolean()));
+        }
+        return usages;
+    }
+
+    /** Writes a view. */
+    public static void writeView(DataOutputStream out, KeeperView view) throws IOException {
+        out.writeLong(view.version());
+        out.writeInt(view.members().size());
+        for (KeeperView.Member member : view.members()) {
+            out.writeUTF(member.node());
+            out.writeUTF(member.address());
+        }
+    }
+
+    /** Reads a view. */
+    public static KeeperView readView(DataInputStream in) throws IOException {
+        long version = in.readLong();
+        int count = in.readInt();
+        List<KeeperView.Member> members = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            members.add(new KeeperView.Member(in.readUTF(), in.readUTF()));
+        }
+        return new KeeperView(version, members);
+    }
+
+    /** Writes bytes with their length. */
+    public static void writeBytes(DataOutputStream out, byte[] bytes) throws IOException {
+        out.writeInt(bytes.length);
+        out.write(bytes);
+    }
+
+    /** Reads bytes with their length. */
+    public static byte[] readBytes(DataInputStream in) throws IOException {
+        int length = in.readInt();
+        if (length < 0 || length > MAX_BYTES) {
+            throw new IOException("invalid length " + length);
+        }
+        return in.readNBytes(length);
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerOperation.java
@@ -0,0 +1,32 @@
+package org.skylarkmast.relay.ledger;
+
+/** What a keeper is asked for. */
+public enum LedgerOperation {
+    /** Counts a reservation and tells what the program uses. */
+    RESERVE("reserve"),
+    /** Tells what a program uses. */
+    USAGE("usage"),
+    /** Takes the final count of an attempt. */
+    SETTLE("settle"),
+    /** Keeps a turn and takes its final count. */
+    APPEND("append"),
+    /** Returns a turn with those before it. */
+    CHAIN("chain"),
+    /** Lists what the keeper holds, for another keeper. */
+    SUMMARY("summary"),
+    /** Returns turns by id, for another keeper. */
+    FETCH("fetch"),
+    /** Exchanges state between keepers. */
+    PING("ping");
+
+    private final String path;
+
+    LedgerOperation(String path) {
+        this.path = path;
+    }
+
+    /** Last part of its URL path. */
+    public String path() {
+        return path;
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/TurnRecord.java
@@ -0,0 +1,14 @@
+package org.skylarkmast.relay.ledger;
+
+/**
+ * A completed turn; never changes once written.
+ *
+ * @param id the request id it was answered under
+ * @param previous id of the turn it continues from, empty at the start of a chain
+ * @param input the input the caller sent
+ * @param output the data of its events, each followed by a line feed
+ * @param retentionMs how long it is kept
+ */
+@SuppressWarnings("ArrayRecordComponent") // texts are opaque and never compared
+public record TurnRecord(
+        String id, String previous, byte[] input, byte[] output, long retentionMs) {}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -0,0 +1,212 @@
+package org.skylarkmast.relay.node;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.skylarkmast.relay.forward.Forwarder;
+import org.skylarkmast.relay.http.CallerConnection;
+import org.skylarkmast.relay.http.HeadTooLargeException;
+import org.skylarkmast.relay.http.HeaderFields;
+import org.skylarkmast.relay.http.InboundRequest;
+import org.skylarkmast.relay.http.MalformedMessageException;
+import org.skylarkmast.relay.route.CallerLimits;
+import org.skylarkmast.relay.route.RoutingConfiguration;
+import org.skylarkmast.relay.route.RoutingState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Accepts callers' connections and serves each on a virtual thread. */
+public final class CallerServer implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(CallerServer.class);
+
+    /** Limits until a configuration is known. */
+    private static final CallerLimits DEFAULT_LIMITS =
+            new CallerLimits(16_384, 1 << 20, 3000, 15_000);
+
+    private static final int BACKLOG = 1024;
+    private static final int LINGER_MS = 500;
+
+    private final ServerSocket listener;
+    private final Forwarder forwarder;
+    private final RoutingState routing;
+    private final ScheduledExecutorService timers;
+    private final Set<Served> open = ConcurrentHashMap.newKeySet();
+    private volatile boolean draining;
+
+    /** A connection and whether it has a request under way. */
+    private static final class Served {
+        final CallerConnection connection;
+        volatile boolean busy;
+
+        Served(CallerConnection connection) {
+            this.connection = connection;
+        }
+    }
+
+    /**
+     * Starts to accept.
+     *
+     * @param address {@code host:port}
+     * @throws IOException if the address cannot be bound
+     */
+    public CallerServer(
+            String address,
+            Forwarder forwarder,
+            RoutingState routing,
+            ScheduledExecutorService timers)
+            throws IOException {
+        this.forwarder = forwarder;
+        this.routing = routing;
+        this.timers = timers;
+        int colon = address.lastIndexOf(':');
+        listener = new ServerSocket();
+        listener.setReuseAddress(true);
+        listener.bind(
+                new InetSocketAddress(
+                        InetAddress.getByName(address.substring(0, colon)),
+                        Integer.parseInt(address.substring(colon + 1))),
+                BACKLOG);
+        Thread.ofPlatform().name("accept").daemon().start(this::accept);
+    }
+
+    /** The port it listens on. */
+    public int port() {
+        return listener.getLocalPort();
+    }
+
+    /** From now on connections end with the answer under way or the next one. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Connections open now. */
+    public int connections() {
+        return open.size();
+    }
+
+    /** Closes connections that have no request under way. */
+    public void closeIdle() {
+        for (Served served : open) {
+            if (!served.busy) {
+                served.connection.close();
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            listener.close();
+        } catch (IOException e) {
+            LOG.atWarn().addKeyValue("event", "listener_not_closed").setCause(e).log();
+        }
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket socket = listener.accept();
+                Thread.ofVirtual().start(() -> serve(socket));
+            } catch (IOException e) {
+                if (!listener.isClosed()) {
+                    LOG.atWarn().addKeyValue("event", "accept_failed").setCause(e).log();
+                }
+            }
+        }
+    }
+
+    private CallerLimits limits() {
+        RoutingConfiguration configuration = routing.current();
+        return configuration == null ? DEFAULT_LIMITS : configuration.limits();
+    }
+
+    private void serve(Socket socket) {
+        Served served = null;
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            CallerConnection connection = new CallerConnection(socket, limits().maxHeadBytes());
+            served = new Served(connection);
+            open.add(served);
+            boolean more = true;
+            while (more) {
+                served.busy = false;
+                socket.setSoTimeout((int) limits().idleTimeoutMs());
+                if (!connection.awaitRequest()) {
+                    break;
+                }
+                served.busy = true;
+                more = serveOne(socket, connection);
+            }
+        } catch (SocketTimeoutException e) {
+            LOG.atDebug().addKeyValue("event", "caller_idle").log();
+        } catch (IOException e) {
+            LOG.atDebug().addKeyValue("event", "caller_gone").addKeyValue("reason", e).log();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException e) {
+            LOG.atError().addKeyValue("event", "request_failed").setCause(e).log();
+            if (served != null) {
+                served.connection.abort();
+            }
+        } finally {
+            if (served != null) {
+                open.remove(served);
+            }
+        }
+    }
+
+    private boolean serveOne(Socket socket, CallerConnection connection)
+            throws IOException, InterruptedException {
+        CallerLimits limits = limits();
+        ScheduledFuture<?> headTimeout =
+                timers.schedule(connection::close, limits.headTimeoutMs(), TimeUnit.MILLISECONDS);
+        InboundRequest request;
+        byte[] body;
+        try {
+            try {
+                request = connection.readHead();
+            } finally {
+                headTimeout.cancel(false);
+            }
+            body = connection.readBody(request, limits.maxBodyBytes());
+        } catch (MalformedMessageException e) {
+            return refuse(connection, 400, e.getMessage());
+        } catch (HeadTooLargeException e) {
+            return refuse(connection, 431, e.getMessage());
+        }
+        if (body == null) {
+            return refuse(connection, 413, "body is too long");
+        }
+        socket.setSoTimeout(0);
+        boolean close = draining || !request.persistent();
+        boolean reusable = forwarder.serve(connection, request, body, close);
+        if (!reusable && close) {
+            connection.close();
+        }
+        return reusable;
+    }
+
+    private static boolean refuse(CallerConnection connection, int status, String reason)
+            throws IOException {
+        LOG.atInfo()
+                .addKeyValue("event", "request_refused")
+                .addKeyValue("status", status)
+                .addKeyValue("reason", reason)
+                .log();
+        connection.writeAnswer(
+                status,
+                HeaderFields.NONE.with("Content-Type", "text/plain"),
+                (reason + "\n").getBytes(java.nio.charset.StandardCharsets.UTF_8),
+                true);
+        connection.closeAfterAnswer(LINGER_MS);
+        return false;
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -0,0 +1,192 @@
+package org.skylarkmast.relay.node;
+
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.skylarkmast.http.HttpClient;
+import org.skylarkmast.http.HttpReply;
+import org.skylarkmast.http.HttpServer;
+import org.skylarkmast.relay.forward.Forwarder;
+import org.skylarkmast.relay.forward.RequestLog;
+import org.skylarkmast.relay.forward.WireDialect;
+import org.skylarkmast.relay.http.RunnerConnections;
+import org.skylarkmast.relay.ledger.KeeperClient;
+import org.skylarkmast.relay.ledger.LedgerClient;
+import org.skylarkmast.relay.ledger.ViewHolder;
+import org.skylarkmast.relay.route.RoutingState;
+import org.skylarkmast.relay.runner.RunnerChooser;
+import org.skylarkmast.relay.runner.RunnerDirectory;
+import org.skylarkmast.relay.runner.RunnerPool;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The entry node: takes callers' requests and forwards them. */
+public final class EntryNode {
+    private static final Logger LOG = LoggerFactory.getLogger(EntryNode.class);
+
+    private static final int KEEPER_CONNECT_TIMEOUT_MS = 300;
+    private static final int KEEPER_IDLE_CONNECTIONS = 16;
+    private static final long SWEEP_MS = 500;
+    private static final long DRAIN_POLL_MS = 20;
+
+    /** Part of the grace period that is left unused, so that the process ends by itself. */
+    private static final double UNUSED_GRACE = 1.0 / 6;
+
+    /** Time for the balancer to notice that the node is not ready. */
+    private static final long NOTICE_MS = 2500;
+
+    private final RelaySettings settings;
+    private final RoutingState routing = new RoutingState();
+    private final RunnerDirectory directory = new RunnerDirectory(System::nanoTime);
+    private final ViewHolder views = new ViewHolder(view -> {});
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final CallerServer callers;
+    private volatile boolean draining;
+
+    /**
+     * Starts the node.
+     *
+     * @throws IOException if an address cannot be bound
+     */
+    public EntryNode(RelaySettings settings, WireDialect dialect) throws IOException {
+        this.settings = settings;
+        ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+        ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
+        RunnerConnections connections = new RunnerConnections();
+        RunnerPool pool =
+                new RunnerPool(
+                        directory,
+                        new RunnerChooser(
+                                settings.failureDomain(),
+                                () -> ThreadLocalRandom.current().nextDouble()),
+                        System::nanoTime);
+        KeeperClient keepers =
+                new KeeperClient(
+                        new HttpClient(KEEPER_IDLE_CONNECTIONS, KEEPER_CONNECT_TIMEOUT_MS),
+                        views::offer);
+        LedgerClient ledger = new LedgerClient(views, keepers, networkOf(settings.ip()), executor);
+        Forwarder forwarder =
+                new Forwarder(
+                        routing,
+                        pool,
+                        connections,
+                        dialect,
+                        ledger,
+                        new RequestLog(registry),
+                        executor,
+                        timers,
+                        () -> ThreadLocalRandom.current().nextDouble());
+        callers = new CallerServer(settings.callersAddress(), forwarder, routing, timers);
+        var _ =
+                timers.scheduleWithFixedDelay(
+                        () -> {
+                            connections.sweep(directory::knows);
+                            pool.sweep();
+                        },
+                        SWEEP_MS,
+                        SWEEP_MS,
+                        TimeUnit.MILLISECONDS);
+        gauge(
+                "skylarkmast_caller_connections",
+                "Open connections of callers.",
+                callers::connections);
+        gauge(
+                "skylarkmast_runner_connections_opened",
+                "Connections opened to runners.",
+                connections::opened);
+        NodeEndpoints.start(settings.ip(), settings.metricsPort(), registry);
+        startReadiness(settings.readinessAddress());
+        LOG.atInfo()
+                .addKeyValue("event", "entry_node_started")
+                .addKeyValue("settings", settings)
+                .log();
+    }
+
+    private void startReadiness(String address) throws IOException {
+        int colon = address.lastIndexOf(':');
+        var _ =
+                HttpServer.start(
+                        address.substring(0, colon),
+                        Integer.parseInt(address.substring(colon + 1)),
+                        0,
+                        call ->
+                                ready()
+                                        ? HttpReply.text(200, "ready\n")
+                                        : HttpReply.text(503, "not ready\n"));
+    }
+
+    /** Where configurations go. */
+    public RoutingState routing() {
+        return routing;
+    }
+
+    /** Where registrations of runners go. */
+    public RunnerDirectory directory() {
+        return directory;
+    }
+
+    /** Where views of keepers go. */
+    public ViewHolder views() {
+        return views;
+    }
+
+    /** Whether new callers may come: it has what it needs and is not about to end. */
+    public boolean ready() {
+        return !draining && routing.current() != null && views.current().version() > 0;
+    }
+
+    /**
+     * Lets callers go elsewhere and ends what is under way.
+     *
+     * <p>Open connections are served until they are idle; each answer closes its connection.
+     */
+    public void drain() {
+        LOG.atInfo().addKeyValue("event", "drain_started").log();
+        long startedNs = System.nanoTime();
+        draining = true;
+        callers.drain();
+        long mostMs = (long) (settings.graceMs() * (1 - UNUSED_GRACE));
+        try {
+            while (callers.connections() > 0 || sinceMs(startedNs) < NOTICE_MS) {
+                long passedMs = sinceMs(startedNs);
+                if (passedMs >= mostMs) {
+                    break;
+                }
+                Thread.sleep(DRAIN_POLL_MS);
+            }
+            callers.close();
+            callers.closeIdle();
+            Thread.sleep(DRAIN_POLL_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        LOG.atInfo()
+                .addKeyValue("event", "drain_ended")
+                .addKeyValue("openConnections", callers.connections())
+                .addKeyValue("tookMs", sinceMs(startedNs))
+                .log();
+    }
+
+    private static long sinceMs(long startedNs) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs);
+    }
+
+    private void gauge(String name, String help, java.util.function.LongSupplier value) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(callback -> callback.call((double) value.getAsLong()))
+                .register(registry);
+    }
+
+    /** Hosts of one failure domain share the first two numbers of their addresses. */
+    private static String networkOf(String ip) {
+        int second = ip.indexOf('.', ip.indexOf('.') + 1);
+        return ip.substring(0, second + 1);
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/KeeperNode.java
@@ -0,0 +1,126 @@
+package org.skylarkmast.relay.node;
+
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.nio.file.Path;
+import org.skylarkmast.http.HttpClient;
+import org.skylarkmast.http.HttpServer;
+import org.skylarkmast.relay.keeper.KeeperCoordinator;
+import org.skylarkmast.relay.keeper.KeeperHandler;
+import org.skylarkmast.relay.keeper.KeeperIndex;
+import org.skylarkmast.relay.keeper.KeeperMembership;
+import org.skylarkmast.relay.keeper.KeeperRegistry;
+import org.skylarkmast.relay.ledger.KeeperClient;
+import org.skylarkmast.relay.ledger.KeeperView;
+import org.skylarkmast.relay.ledger.ViewHolder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The keeper node: keeps turns and spent tokens on its disk. */
+public final class KeeperNode {
+    private static final Logger LOG = LoggerFactory.getLogger(KeeperNode.class);
+
+    private static final int PEER_CONNECT_TIMEOUT_MS = 300;
+    private static final int PEER_IDLE_CONNECTIONS = 4;
+    private static final int MAX_BODY_BYTES = 16 << 20;
+
+    /** Pause between rounds of the coordinator. */
+    private static final long ROUND_MS = 500;
+
+    private static final int ROUNDS_PER_EXPIRY = 10;
+
+    private final ViewHolder views = new ViewHolder(view -> {});
+    private final KeeperIndex index;
+    private final KeeperMembership membership;
+    private final KeeperView.Member self;
+    private final RelaySettings settings;
+    private final KeeperClient keepers;
+
+    /**
+     * Opens the disk and starts to answer.
+     *
+     * @throws IOException if the disk cannot be read or an address not be bound
+     */
+    public KeeperNode(RelaySettings settings) throws IOException {
+        this.settings = settings;
+        Path folder = settings.dataFolder();
+        self =
+                new KeeperView.Member(
+                        settings.node(), settings.ip() + ":" + settings.internalPort());
+        index = new KeeperIndex(folder.resolve("records"), System::currentTimeMillis);
+        membership = new KeeperMembership(self, folder, views);
+        keepers =
+                new KeeperClient(
+                        new HttpClient(PEER_IDLE_CONNECTIONS, PEER_CONNECT_TIMEOUT_MS),
+                        views::offer);
+        PrometheusRegistry registry = new PrometheusRegistry();
+        GaugeWithCallback.builder()
+                .name("skylarkmast_turns_held")
+                .help("Turns on this keeper's disk.")
+                .callback(callback -> callback.call(index.turnCount()))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("skylarkmast_keeper_voting")
+                .help("Whether this keeper takes part in quorums.")
+                .callback(callback -> callback.call(membership.voting() ? 1 : 0))
+                .register(registry);
+        NodeEndpoints.start(settings.ip(), settings.metricsPort(), registry);
+        var _ =
+                HttpServer.start(
+                        settings.ip(),
+                        settings.internalPort(),
+                        MAX_BODY_BYTES,
+                        new KeeperHandler(index, membership, views));
+        LOG.atInfo()
+                .addKeyValue("event", "keeper_node_started")
+                .addKeyValue("settings", settings)
+                .addKeyValue("complete", membership.complete())
+                .addKeyValue("turns", index.turnCount())
+                .log();
+    }
+
+    /** This keeper, as it registers. */
+    public KeeperView.Member self() {
+        return self;
+    }
+
+    /** Where views of keepers go. */
+    public ViewHolder views() {
+        return views;
+    }
+
+    /** Starts to take part in the choice of views. */
+    public void join(KeeperRegistry registry) {
+        KeeperCoordinator coordinator =
+                new KeeperCoordinator(
+                        index,
+                        membership,
+                        views,
+                        keepers,
+                        registry,
+                        settings.firstStart(),
+                        settings.toleratedLosses() + 1,
+                        System::nanoTime);
+        Thread.ofVirtual().name("keeper-rounds").start(() -> rounds(coordinator));
+    }
+
+    private void rounds(KeeperCoordinator coordinator) {
+        int round = 0;
+        while (!Thread.currentThread().isInterrupted()) {
+            try {
+                try {
+                    coordinator.round();
+                    if (++round % ROUNDS_PER_EXPIRY == 0) {
+                        index.expire();
+                    }
+                } catch (RuntimeException e) {
+                    LOG.atError().addKeyValue("event", "round_failed").setCause(e).log();
+                }
+                Thread.sleep(ROUND_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/package-info.java
@@ -0,0 +1,2 @@
+/** The two programs of the relay, entry node and keeper node, put together from their parts. */
+package org.skylarkmast.relay.node;
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/RoutingConfiguration.java
@@ -0,0 +1,75 @@
+package org.skylarkmast.relay.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** One version of the routes and services; immutable. */
+public final class RoutingConfiguration {
+    private final long version;
+    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<String, TargetService> services;
+    private final CallerLimits limits;
+
+    /**
+     * @param version grows with each change
+     * @param services by name
+     */
+    public RoutingConfiguration(
+            long version,
+            List<Route> routes,
+            Map<String, TargetService> services,
+            CallerLimits limits) {
+        this.version = version;
+        this.services = Map.copyOf(services);
+        this.limits = limits;
+        for (Route route : routes) {
+            routesByHost
+                    .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>())
+                    .add(route);
+        }
+        // Longest prefix first, so that the first match is the one in force.
+        routesByHost
+                .values()
+                .forEach(
+                        list ->
+                                list.sort(
+                                        Comparator.comparingInt(
+                                                route -> -route.pathPrefix().length())));
+    }
+
+    public long version() {
+        return version;
+    }
+
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** The service {@code name}, or null. */
+    public TargetService service(String name) {
+        return services.get(name);
+    }
+
+    /** The route for a request, or null. */
+    public Route match(String host, String path) {
+        String name = host.toLowerCase(Locale.ROOT);
+        int colon = name.lastIndexOf(':');
+        List<Route> routes = routesByHost.get(name);
+        if (routes == null && colon > 0) {
+            routes = routesByHost.get(name.substring(0, colon));
+        }
+        if (routes == null) {
+            return null;
+        }
+        for (Route route : routes) {
+            if (path.startsWith(route.pathPrefix())) {
+                return route;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerView.java
@@ -0,0 +1,12 @@
+package org.skylarkmast.relay.runner;
+
+/**
+ * A runner as a choice sees it.
+ *
+ * @param load requests it is believed to hold, ours and others'
+ * @param msPerUnit learned time for a unit of work, or 0 if nothing is known
+ * @param cachedTokens prompt tokens it is believed to have cached
+ * @param avoided whether it failed lately and is only used if nothing else is there
+ */
+public record RunnerView(
+        Runner runner, int load, double msPerUnit, int cachedTokens, boolean avoided) {}
--- /dev/null
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/http/CallerConnectionTest.java
@@ -0,0 +1,135 @@
+package org.skylarkmast.relay.http;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CallerConnectionTest {
+    private static final int MAX_HEAD_BYTES = 1000;
+    private static final long MAX_BODY_BYTES = 100;
+
+    private static Socket[] pair() throws IOException {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Socket caller = new Socket(listener.getInetAddress(), listener.getLocalPort());
+            return new Socket[] {caller, listener.accept()};
+        }
+    }
+
+    private static CallerConnection sent(String raw) throws IOException {
+        Socket[] pair = pair();
+        pair[0].getOutputStream().write(raw.getBytes(StandardCharsets.ISO_8859_1));
+        pair[0].shutdownOutput();
+        return new CallerConnection(pair[1], MAX_HEAD_BYTES);
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "both|GET / HTTP/1.1~Host: a~Content-Length: 3~Transfer-Encoding: chunked~~",
+                "two lengths|POST / HTTP/1.1~Host: a~Content-Length: 3~Content-Length: 3~~abc",
+                "signed length|POST / HTTP/1.1~Host: a~Content-Length: +3~~abc",
+                "length in words|POST / HTTP/1.1~Host: a~Content-Length: 3 3~~abc",
+                "other encoding|POST / HTTP/1.1~Host: a~Transfer-Encoding: gzip, chunked~~",
+                "twice|GET / HTTP/1.1~Host: a~Transfer-Encoding: chunked~Transfer-Encoding: x~~",
+                "bare line feed|GET / HTTP/1.1^Host: a~~",
+                "bare line feed in a field|GET / HTTP/1.1~Host: a~X: 1^Y: 2~~",
+                "folded line|GET / HTTP/1.1~Host: a~X: 1~ more~~",
+                "space before the colon|POST / HTTP/1.1~Host: a~Content-Length : 3~~abc",
+                "control character|GET / HTTP/1.1~Host: a~X: a\u0001b~~",
+                "odd field name|GET / HTTP/1.1~Host: a~X(y): 1~~",
+                "no host|GET / HTTP/1.1~X: 1~~",
+                "two hosts|GET / HTTP/1.1~Host: a~Host: b~~",
+                "absolute target|GET http://a/ HTTP/1.1~Host: a~~",
+                "no version|GET /~Host: a~~",
+            })
+    void refusesWhatCouldBeReadInTwoWays(String name, String raw) throws IOException {
+        CallerConnection connection = sent(raw.replace("~", "\r\n").replace("^", "\n"));
+        assertThrows(MalformedMessageException.class, connection::readHead);
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "length|POST /p HTTP/1.1~Host: a~Content-Length: 3~~abc|abc",
+                "chunks|POST /p HTTP/1.1~Host: a~Transfer-Encoding: chunked~~2~ab~1~c~0~~|abc",
+                "none|POST /p HTTP/1.1~Host: a~~|''",
+            })
+    void readsBodies(String name, String raw, String body) throws IOException {
+        CallerConnection connection = sent(raw.replace("~", "\r\n"));
+        InboundRequest request = connection.readHead();
+        byte[] read = connection.readBody(request, MAX_BODY_BYTES);
+        assertThat(new String(read, StandardCharsets.US_ASCII)).isEqualTo(body);
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "no size|POST /p HTTP/1.1~Host: a~Transfer-Encoding: chunked~~x~ab~0~~",
+                "line feeds alone|POST /p HTTP/1.1~Host: a~Transfer-Encoding: chunked~~2^ab^0^^",
+            })
+    void refusesMalformedChunks(String name, String raw) throws IOException {
+        CallerConnection connection = sent(raw.replace("~", "\r\n").replace("^", "\n"));
+        InboundRequest request = connection.readHead();
+        assertThrows(
+                MalformedMessageException.class,
+                () -> connection.readBody(request, MAX_BODY_BYTES));
+    }
+
+    @Test
+    void refusesLongHead() throws IOException {
+        CallerConnection connection =
+                sent("GET / HTTP/1.1\r\nHost: a\r\nX: " + "x".repeat(MAX_HEAD_BYTES) + "\r\n\r\n");
+        assertThrows(HeadTooLargeException.class, connection::readHead);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "POST / HTTP/1.1~Host: a~Content-Length: 101~~",
+        "POST / HTTP/1.1~Host: a~Transfer-Encoding: chunked~~65~",
+    })
+    void tellsLongBody(String raw) throws IOException {
+        CallerConnection connection =
+                sent(raw.replace("~", "\r\n") + "x".repeat(101) + "\r\n0\r\n");
+        InboundRequest request = connection.readHead();
+        assertThat(connection.readBody(request, MAX_BODY_BYTES)).isNull();
+    }
+
+    @Test
+    void tellsThatTheCallerLeftWhileItsRequestIsServed() throws Exception {
+        Socket[] pair = pair();
+        CallerConnection connection = new CallerConnection(pair[1], MAX_HEAD_BYTES);
+        pair[0].getOutputStream()
+                .write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        connection.readHead();
+        CountDownLatch gone = new CountDownLatch(1);
+        connection.watch(gone::countDown);
+        pair[0].close();
+        assertThat(gone.await(10, TimeUnit.SECONDS)).isTrue();
+    }
+
+    @Test
+    void keepsWhatAWatchReadForTheNextRequest() throws Exception {
+        Socket[] pair = pair();
+        CallerConnection connection = new CallerConnection(pair[1], MAX_HEAD_BYTES);
+        byte[] request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+        pair[0].getOutputStream().write(request);
+        connection.readHead();
+        connection.watch(() -> {});
+        pair[0].getOutputStream().write(request);
+        assertThat(connection.awaitRequest()).isTrue();
+        assertThat(connection.readHead().path()).isEqualTo("/x");
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/keeper/RecordLogTest.java
@@ -0,0 +1,114 @@
+package org.skylarkmast.relay.keeper;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class RecordLogTest {
+    private static final long FOR_EVER_MS = Long.MAX_VALUE;
+
+    @TempDir private Path folder;
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private List<String> replayed() throws IOException {
+        List<String> found = new ArrayList<>();
+        try (RecordLog _ =
+                new RecordLog(
+                        folder,
+                        (location, entry) ->
+                                found.add(new String(entry, StandardCharsets.UTF_8)))) {
+            return found;
+        }
+    }
+
+    private void write(String... entries) throws Exception {
+        try (RecordLog log = new RecordLog(folder, (location, entry) -> {})) {
+            for (String entry : entries) {
+                log.append(bytes(entry), true, FOR_EVER_MS).get();
+            }
+        }
+    }
+
+    private Path onlySegment() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.toList().getFirst();
+        }
+    }
+
+    @Test
+    void replaysWhatWasAppendedOverSeveralStarts() throws Exception {
+        write("a", "b");
+        write("c");
+        assertThat(replayed()).containsExactly("a", "b", "c").inOrder();
+    }
+
+    @Test
+    void readsBackByLocation() throws Exception {
+        try (RecordLog log = new RecordLog(folder, (location, entry) -> {})) {
+            var _ = log.append(bytes("first"), false, FOR_EVER_MS);
+            RecordLog.Location second = log.append(bytes("second"), true, FOR_EVER_MS).get();
+            assertThat(new String(log.read(second), StandardCharsets.UTF_8)).isEqualTo("second");
+        }
+    }
+
+    /** A power loss leaves the unsynced tail cut or changed anywhere; what is before it stays. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void keepsWhatLiesBeforeATornTail(long seed) throws Exception {
+        Random random = new Random(seed);
+        write("synced one", "synced two");
+        long synced = Files.size(onlySegment());
+        byte[] whole = Files.readAllBytes(onlySegment());
+        Files.delete(onlySegment());
+        write("synced one", "synced two", "torn entry that is longer", "another one");
+        byte[] more = Files.readAllBytes(onlySegment());
+        int end = (int) synced + random.nextInt(more.length - (int) synced);
+        byte[] torn = java.util.Arrays.copyOf(more, end);
+        for (int i = (int) synced; i < end; i++) {
+            if (random.nextInt(4) == 0) {
+                torn[i] = (byte) random.nextInt();
+            }
+        }
+        Files.write(onlySegment(), torn);
+        assertThat(whole.length).isEqualTo((int) synced);
+        List<String> found = replayed();
+        assertThat(found.subList(0, 2)).containsExactly("synced one", "synced two").inOrder();
+        assertThat(List.of("torn entry that is longer", "another one"))
+                .containsAtLeastElementsIn(found.subList(2, found.size()));
+    }
+
+    @Test
+    void appendsAfterATornTailInASegmentOfItsOwn() throws Exception {
+        write("kept", "torn");
+        byte[] all = Files.readAllBytes(onlySegment());
+        Files.write(onlySegment(), java.util.Arrays.copyOf(all, all.length - 1));
+        write("after");
+        assertThat(replayed()).containsExactly("kept", "after").inOrder();
+    }
+
+    @Test
+    void removesSegmentsWhoseEntriesExpired() throws Exception {
+        try (RecordLog log = new RecordLog(folder, (location, entry) -> {})) {
+            log.append(bytes("old"), true, 10).get();
+        }
+        try (RecordLog log = new RecordLog(folder, (location, entry) -> {})) {
+            log.keepUntil(0, 10);
+            log.trim(11);
+        }
+        assertThat(replayed()).isEmpty();
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/ledger/BudgetRuleTest.java
@@ -0,0 +1,60 @@
+package org.skylarkmast.relay.ledger;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class BudgetRuleTest {
+    private static final String OWN = "own";
+
+    private static Usage open(String attempt, int tokens) {
+        return new Usage(attempt, tokens, false);
+    }
+
+    private static Usage settled(String attempt, int tokens) {
+        return new Usage(attempt, tokens, true);
+    }
+
+    static Stream<Arguments> cases() {
+        List<Usage> own = List.of(open(OWN, 100));
+        return Stream.of(
+                Arguments.of("first turn", List.of(own), 100, BudgetRule.Verdict.GRANTED),
+                Arguments.of("too large alone", List.of(own), 99, BudgetRule.Verdict.EXHAUSTED),
+                Arguments.of(
+                        "fits beside an open one",
+                        List.of(List.of(open("a", 100), open(OWN, 100))),
+                        200,
+                        BudgetRule.Verdict.GRANTED),
+                Arguments.of(
+                        "held by an open one",
+                        List.of(List.of(open("a", 101), open(OWN, 100))),
+                        200,
+                        BudgetRule.Verdict.HELD),
+                Arguments.of(
+                        "spent",
+                        List.of(List.of(settled("a", 101), open(OWN, 100))),
+                        200,
+                        BudgetRule.Verdict.EXHAUSTED),
+                Arguments.of(
+                        "a settled count replaces the open one",
+                        List.of(List.of(open("a", 200)), List.of(settled("a", 10))),
+                        200,
+                        BudgetRule.Verdict.GRANTED),
+                Arguments.of(
+                        "keepers know different attempts",
+                        List.of(List.of(settled("a", 60)), List.of(settled("b", 60))),
+                        200,
+                        BudgetRule.Verdict.EXHAUSTED));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("cases")
+    void countsTheUnionOfWhatKeepersKnow(
+            String name, List<List<Usage>> reports, long budget, BudgetRule.Verdict verdict) {
+        assertThat(BudgetRule.decide(reports, OWN, 100, budget)).isEqualTo(verdict);
+    }
+}
