[relay] Answer 504, not 502, when a request's time ends at a runner; play hostile runners in tests

Cause: the deadline cuts the runner's connection, and the cut was taken for the runner's failure. Ruled out: a late answer of the runner (the stand-in never answers). Before: EntryNodeTest.answersAtTheDeadline failed on three kinds of route with 502.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendLoop.java
@@ -115,9 +115,14 @@
             }
             case SendResult.MayHaveRun mayHaveRun -> {
                 used.put(runner.incarnation(), runner);
-                yield mayRepeat()
-                        ? null
-                        : new End(mayHaveRun, Refusal.mayHaveRun(mayHaveRun.reason()));
+                if (mayRepeat()) {
+                    yield null;
+                }
+                yield new End(
+                        mayHaveRun,
+                        exchange.isExpired()
+                                ? outOfTime(mayHaveRun)
+                                : Refusal.mayHaveRun(mayHaveRun.reason()));
             }
             case SendResult.BrokenOff brokenOff -> {
                 used.put(runner.incarnation(), runner);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -26,7 +26,7 @@
 import org.slf4j.LoggerFactory;
 
 /** The entry node: takes callers' requests and forwards them. */
-public final class EntryNode {
+public final class EntryNode implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(EntryNode.class);
 
     private static final int KEEPER_CONNECT_TIMEOUT_MS = 300;
@@ -135,6 +135,17 @@
         return views;
     }
 
+    /** The port callers reach. */
+    public int callersPort() {
+        return callers.port();
+    }
+
+    /** Stops to accept callers. */
+    @Override
+    public void close() {
+        callers.close();
+    }
+
     /** Whether new callers may come: it has what it needs and is not about to end. */
     public boolean ready() {
         return !draining && routing.current() != null && views.current().version() > 0;
