[relay] Close idle connections once the balancer has noticed a drain; be ready only with a quorum of keepers

A node cut from the keepers stayed in rotation and held each turn for a third of its time.

Readiness asks for a quorum of keepers that answered within 1.2 s; silent ones are probed. Turns are refused at once where no quorum answers.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -39,7 +39,9 @@
 
     private static final long HELD_RETRY_MS = 250;
     private static final long KEEPERS_RETRY_MS = 300;
-    private static final long NO_CONFIGURATION_RETRY_MS = 500;
+
+    /** Time after which a caller may try another entry node, which may know or reach more. */
+    private static final long ELSEWHERE_RETRY_MS = 100;
 
     private final RoutingState routing;
     private final RunnerPool pool;
@@ -88,8 +90,7 @@
         RequestLog.Entry entry = new RequestLog.Entry(System.nanoTime());
         RoutingConfiguration configuration = routing.current();
         if (configuration == null) {
-            Refusal refusal =
-                    Refusal.notRun(NO_CONFIGURATION_RETRY_MS, "no configuration known yet");
+            Refusal refusal = Refusal.notRun(ELSEWHERE_RETRY_MS, "no configuration known yet");
             return refuse(caller, "", refusal, close, entry);
         }
         entry.version = configuration.version();
@@ -189,6 +190,10 @@
         boolean serve(RequestLog.Entry entry) throws InterruptedException {
             entry.service = service;
             boolean reserves = call.budgeted() && route.kind() == RouteKind.STREAM;
+            if ((reserves || route.keepsTurns()) && !ledger.reachable()) {
+                Refusal refusal = Refusal.notRun(ELSEWHERE_RETRY_MS, "no quorum of keepers");
+                return refuse(caller, call.requestId(), refusal, close, entry);
+            }
             Future<ChainOutcome> chain = startChain();
             Refusal refusal = reserves ? reserve(entry) : null;
             byte[] body = input;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
@@ -25,6 +25,13 @@
     private static final long SUSPECT_MS = 2000;
 
     private static final long RETRY_PAUSE_MS = 40;
+
+    /** Time since a keeper's last answer for which it counts as reachable. */
+    private static final long REACHABLE_MS = 1200;
+
+    /** Silence after which a keeper is asked, so that it does not count as unreachable for that. */
+    private static final long PROBE_AFTER_MS = 300;
+
     private static final int SETTLE_ROUNDS = 4;
 
     private final ViewHolder views;
@@ -32,6 +39,7 @@
     private final String ownFailureDomainAddressHint;
     private final ExecutorService executor;
     private final Map<String, Long> suspectedUntilNs = new ConcurrentHashMap<>();
+    private final Map<String, Long> answeredNs = new ConcurrentHashMap<>();
 
     /** Two rounds of a reservation: what a keeper reports. */
     private record Report(List<Usage> usages) {}
@@ -55,7 +63,8 @@
         ReserveOutcome outcome = ReserveOutcome.UNAVAILABLE;
         while (outcome == ReserveOutcome.UNAVAILABLE) {
             outcome = tryReserve(claim);
-            if (outcome != ReserveOutcome.UNAVAILABLE || System.nanoTime() - endNs >= 0) {
+            boolean goesOn = System.nanoTime() - endNs < 0 && reachable();
+            if (outcome != ReserveOutcome.UNAVAILABLE || !goesOn) {
                 break;
             }
             Thread.sleep(RETRY_PAUSE_MS);
@@ -66,6 +75,55 @@
         return outcome;
     }
 
+    @Override
+    public boolean reachable() {
+        KeeperView view = views.current();
+        long answered =
+                view.members().stream().filter(member -> silentMs(member) < REACHABLE_MS).count();
+        return !view.members().isEmpty() && answered >= view.writeQuorum();
+    }
+
+    /** Asks keepers that have been silent; called several times a second. */
+    public void probe() {
+        KeeperView view = views.current();
+        byte[] body = LedgerCodec.encode(out -> LedgerCodec.writeView(out, view));
+        for (KeeperView.Member member : view.members()) {
+            if (silentMs(member) >= PROBE_AFTER_MS) {
+                executor.execute(
+                        () ->
+                                note(
+                                        member,
+                                        keepers.call(
+                                                        member,
+                                                        view.version(),
+                                                        LedgerOperation.PING,
+                                                        body,
+                                                        CALL_TIMEOUT_MS,
+                                                        LedgerClient::readVoting)
+                                                != null));
+            }
+        }
+        answeredNs
+                .keySet()
+                .removeIf(
+                        address ->
+                                view.members().stream()
+                                        .noneMatch(member -> member.address().equals(address)));
+    }
+
+    /** Reads whether a keeper takes part in quorums; null if it does not. */
+    private static Boolean readVoting(DataInputStream in) throws IOException {
+        LedgerCodec.readView(in);
+        return in.readBoolean() ? Boolean.TRUE : null;
+    }
+
+    private long silentMs(KeeperView.Member member) {
+        Long answered = answeredNs.get(member.address());
+        return answered == null
+                ? Long.MAX_VALUE
+                : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - answered);
+    }
+
     private ReserveOutcome tryReserve(Reservation claim) throws InterruptedException {
         KeeperView view = views.current();
         int all = view.members().size();
@@ -180,7 +238,7 @@
                         .log();
                 return new ChainOutcome.Uncertain();
             }
-            if (System.nanoTime() - endNs >= 0) {
+            if (System.nanoTime() - endNs >= 0 || !reachable()) {
                 return new ChainOutcome.Uncertain();
             }
             Thread.sleep(RETRY_PAUSE_MS);
@@ -300,6 +358,7 @@
 
     private void note(KeeperView.Member member, boolean answered) {
         if (answered) {
+            answeredNs.put(member.address(), System.nanoTime());
             if (suspectedUntilNs.remove(member.address()) != null) {
                 log("keeper_regained", member);
             }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/TurnLedger.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/TurnLedger.java
@@ -8,6 +8,9 @@
  */
 public interface TurnLedger {
 
+    /** Whether a quorum of keepers answered lately; without one no turn can be served. */
+    boolean reachable();
+
     /**
      * Reserves tokens for a turn; anything but {@link ReserveOutcome#GRANTED} leaves nothing
      * reserved.
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -31,7 +31,7 @@
 
     private static final int KEEPER_CONNECT_TIMEOUT_MS = 300;
     private static final int KEEPER_IDLE_CONNECTIONS = 16;
-    private static final long SWEEP_MS = 500;
+    private static final long SWEEP_MS = 300;
     private static final long DRAIN_POLL_MS = 20;
 
     /** Part of the grace period that is left unused, so that the process ends by itself. */
@@ -46,6 +46,7 @@
     private final ViewHolder views = new ViewHolder(view -> {});
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final CallerServer callers;
+    private final LedgerClient ledger;
     private volatile boolean draining;
 
     /**
@@ -69,7 +70,7 @@
                 new KeeperClient(
                         new HttpClient(KEEPER_IDLE_CONNECTIONS, KEEPER_CONNECT_TIMEOUT_MS),
                         views::offer);
-        LedgerClient ledger = new LedgerClient(views, keepers, networkOf(settings.ip()), executor);
+        ledger = new LedgerClient(views, keepers, networkOf(settings.ip()), executor);
         Forwarder forwarder =
                 new Forwarder(
                         routing,
@@ -148,13 +149,14 @@
 
     /** Whether new callers may come: it has what it needs and is not about to end. */
     public boolean ready() {
-        return !draining && routing.current() != null && views.current().version() > 0;
+        return !draining && routing.current() != null && ledger.reachable();
     }
 
     /**
      * Lets callers go elsewhere and ends what is under way.
      *
-     * <p>Open connections are served until they are idle; each answer closes its connection.
+     * <p>Open connections are served; each answer closes its connection. Once the balancer has
+     * noticed, idle ones are closed and the node waits for what is under way.
      */
     public void drain() {
         LOG.atInfo().addKeyValue("event", "drain_started").log();
@@ -163,16 +165,14 @@
         callers.drain();
         long mostMs = (long) (settings.graceMs() * (1 - UNUSED_GRACE));
         try {
-            while (callers.connections() > 0 || sinceMs(startedNs) < NOTICE_MS) {
-                long passedMs = sinceMs(startedNs);
-                if (passedMs >= mostMs) {
-                    break;
-                }
+            while (sinceMs(startedNs) < Math.min(NOTICE_MS, mostMs)) {
                 Thread.sleep(DRAIN_POLL_MS);
             }
             callers.close();
-            callers.closeIdle();
-            Thread.sleep(DRAIN_POLL_MS);
+            while (callers.connections() > 0 && sinceMs(startedNs) < mostMs) {
+                callers.closeIdle();
+                Thread.sleep(DRAIN_POLL_MS);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
