[relay] Probe keepers from the entry node's timer; tell callers at the answer that a connection ends

Found beside it: an answer that began after the signal to end did not say so, as that was decided when its request was read.

Ruled out: the keepers (their view was whole at -11.4 s and they answered each other).

Change: the probe runs in the timer, whose failures are logged; the end of a connection is decided when the answer begins.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/AnswerSink.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/AnswerSink.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.skylarkmast.relay.http.CallerConnection;
 import org.skylarkmast.relay.http.Framing;
 import org.skylarkmast.relay.http.HeaderFields;
@@ -13,22 +14,23 @@
  */
 final class AnswerSink {
     private final CallerConnection caller;
-    private final boolean closeAfterwards;
+    private final BooleanSupplier closing;
     private final int tokensPerEvent;
     private final boolean keepsOutput;
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private boolean begun;
+    private boolean closes;
     private boolean ended;
     private String lastEventId = "";
     private int events;
 
     AnswerSink(
             CallerConnection caller,
-            boolean closeAfterwards,
+            BooleanSupplier closing,
             int tokensPerEvent,
             boolean keepsOutput) {
         this.caller = caller;
-        this.closeAfterwards = closeAfterwards;
+        this.closing = closing;
         this.tokensPerEvent = tokensPerEvent;
         this.keepsOutput = keepsOutput;
     }
@@ -38,6 +40,11 @@
         return begun;
     }
 
+    /** Whether the caller was told that the connection ends with this answer. */
+    boolean closes() {
+        return closes;
+    }
+
     /** Whether the answer is complete. */
     boolean ended() {
         return ended;
@@ -60,8 +67,8 @@
 
     void whole(RunnerAnswer answer, byte[] body) throws IOException {
         begun = true;
-        caller.writeAnswer(
-                answer.status(), Framing.endToEnd(answer.fields()), body, closeAfterwards);
+        closes = closing.getAsBoolean();
+        caller.writeAnswer(answer.status(), Framing.endToEnd(answer.fields()), body, closes);
         ended = true;
     }
 
@@ -69,8 +76,9 @@
     void begin(RunnerAnswer answer) throws IOException {
         if (!begun) {
             begun = true;
+            closes = closing.getAsBoolean();
             HeaderFields fields = Framing.endToEnd(answer.fields());
-            caller.beginStream(answer.status(), fields, closeAfterwards);
+            caller.beginStream(answer.status(), fields, closes);
         }
     }
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import org.skylarkmast.relay.http.CallerConnection;
 import org.skylarkmast.relay.http.Framing;
@@ -81,30 +82,30 @@
     /**
      * Serves one request whose body was read.
      *
-     * @param close whether the connection ends with the answer
+     * @param closing asked when the answer begins: whether the connection ends with it
      * @return whether the connection may serve another request
      */
     public boolean serve(
-            CallerConnection caller, InboundRequest request, byte[] body, boolean close)
+            CallerConnection caller, InboundRequest request, byte[] body, BooleanSupplier closing)
             throws InterruptedException {
         RequestLog.Entry entry = new RequestLog.Entry(System.nanoTime());
         RoutingConfiguration configuration = routing.current();
         if (configuration == null) {
             Refusal refusal = Refusal.notRun(ELSEWHERE_RETRY_MS, "no configuration known yet");
-            return refuse(caller, "", refusal, close, entry);
+            return refuse(caller, "", refusal, closing, entry);
         }
         entry.version = configuration.version();
         CallMetadata call;
         try {
             call = dialect.read(request.fields());
         } catch (MalformedMessageException e) {
-            return refuse(caller, "", Refusal.of(400, e.getMessage()), close, entry);
+            return refuse(caller, "", Refusal.of(400, e.getMessage()), closing, entry);
         }
         entry.requestId = call.requestId();
         entry.program = call.program();
         Route route = configuration.match(request.fields().first("Host"), request.path());
         if (route == null) {
-            return refuse(caller, call.requestId(), Refusal.of(404, "no route"), close, entry);
+            return refuse(caller, call.requestId(), Refusal.of(404, "no route"), closing, entry);
         }
         entry.route = route.name();
         long leftMs = route.timeoutMs();
@@ -121,7 +122,7 @@
                         () -> exchange.expire(true), leftMs + CUT_AFTER_MS, TimeUnit.MILLISECONDS);
         try {
             Turn turn =
-                    new Turn(caller, request, body, close, call, route, configuration, exchange);
+                    new Turn(caller, request, body, closing, call, route, configuration, exchange);
             return turn.serve(entry);
         } finally {
             exchange.end();
@@ -134,8 +135,9 @@
             CallerConnection caller,
             String requestId,
             Refusal refusal,
-            boolean close,
+            BooleanSupplier closing,
             RequestLog.Entry entry) {
+        boolean close = closing.getAsBoolean();
         HeaderFields fields =
                 dialect.ownAnswer(requestId).with("Content-Type", "text/plain; charset=utf-8");
         if (refusal.retryAfterMs() != Refusal.NEVER) {
@@ -160,7 +162,7 @@
         private final CallerConnection caller;
         private final InboundRequest request;
         private final byte[] input;
-        private final boolean close;
+        private final BooleanSupplier closing;
         private final CallMetadata call;
         private final Route route;
         private final Exchange exchange;
@@ -171,7 +173,7 @@
                 CallerConnection caller,
                 InboundRequest request,
                 byte[] input,
-                boolean close,
+                BooleanSupplier closing,
                 CallMetadata call,
                 Route route,
                 RoutingConfiguration configuration,
@@ -179,7 +181,7 @@
             this.caller = caller;
             this.request = request;
             this.input = input;
-            this.close = close;
+            this.closing = closing;
             this.call = call;
             this.route = route;
             this.exchange = exchange;
@@ -192,7 +194,7 @@
             boolean reserves = call.budgeted() && route.kind() == RouteKind.STREAM;
             if ((reserves || route.keepsTurns()) && !ledger.reachable()) {
                 Refusal refusal = Refusal.notRun(ELSEWHERE_RETRY_MS, "no quorum of keepers");
-                return refuse(caller, call.requestId(), refusal, close, entry);
+                return refuse(caller, call.requestId(), refusal, closing, entry);
             }
             Future<ChainOutcome> chain = startChain();
             Refusal refusal = reserves ? reserve(entry) : null;
@@ -216,7 +218,7 @@
                 }
             }
             if (refusal != null) {
-                return refuse(caller, call.requestId(), refusal, close, entry);
+                return refuse(caller, call.requestId(), refusal, closing, entry);
             }
             return send(body, reserves, entry);
         }
@@ -258,7 +260,7 @@
                 throws InterruptedException {
             boolean stream = route.kind() == RouteKind.STREAM;
             int tokensPerEvent = target == null ? 1 : target.tokensPerEvent();
-            AnswerSink sink = new AnswerSink(caller, close, tokensPerEvent, route.keepsTurns());
+            AnswerSink sink = new AnswerSink(caller, closing, tokensPerEvent, route.keepsTurns());
             RunnerSend.Outgoing outgoing =
                     new RunnerSend.Outgoing(
                             call.requestId(),
@@ -285,13 +287,13 @@
 
         private boolean finish(SendLoop.End end, AnswerSink sink, RequestLog.Entry entry) {
             if (end.refusal() != null && !sink.begun()) {
-                return refuse(caller, call.requestId(), end.refusal(), close, entry);
+                return refuse(caller, call.requestId(), end.refusal(), closing, entry);
             }
             return switch (end.result()) {
                 case SendResult.Delivered delivered -> {
                     entry.status = delivered.status();
                     requestLog.ended("delivered", entry);
-                    yield !close;
+                    yield !sink.closes();
                 }
                 case SendResult.CallerLost lost -> cut("caller_lost", lost.reason(), entry);
                 case SendResult.BrokenOff broken -> cut("broken_off", broken.reason(), entry);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -186,9 +186,9 @@
             return refuse(connection, 413, "body is too long");
         }
         socket.setSoTimeout(0);
-        boolean close = draining || !request.persistent();
-        boolean reusable = forwarder.serve(connection, request, body, close);
-        if (!reusable && close) {
+        boolean reusable =
+                forwarder.serve(connection, request, body, () -> draining || !request.persistent());
+        if (!reusable) {
             connection.close();
         }
         return reusable;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -85,10 +85,7 @@
         callers = new CallerServer(settings.callersAddress(), forwarder, routing, timers);
         var _ =
                 timers.scheduleWithFixedDelay(
-                        () -> {
-                            connections.sweep(directory::knows);
-                            pool.sweep();
-                        },
+                        () -> keepHouse(connections, pool),
                         SWEEP_MS,
                         SWEEP_MS,
                         TimeUnit.MILLISECONDS);
@@ -108,6 +105,17 @@
                 .log();
     }
 
+    /** A failure is logged here, as the timer would end the rounds without a word. */
+    private void keepHouse(RunnerConnections connections, RunnerPool pool) {
+        try {
+            ledger.probe();
+            connections.sweep(directory::knows);
+            pool.sweep();
+        } catch (RuntimeException e) {
+            LOG.atError().addKeyValue("event", "housekeeping_failed").setCause(e).log();
+        }
+    }
+
     private void startReadiness(String address) throws IOException {
         int colon = address.lastIndexOf(':');
         var _ =
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/keeper/KeeperClusterTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/keeper/KeeperClusterTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -96,6 +97,24 @@
         }
     }
 
+    @Test
+    void tellsWhetherAQuorumAnswers() throws Exception {
+        try (KeeperCluster cluster = new KeeperCluster(folder, "a", "b", "c")) {
+            LedgerClient client = cluster.client();
+            assertThat(client.reachable()).isFalse();
+            client.probe();
+            awaitReachable(client);
+        }
+    }
+
+    private static void awaitReachable(LedgerClient client) {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (!client.reachable() && System.nanoTime() < endNs) {
+            Thread.onSpinWait();
+        }
+        assertThat(client.reachable()).isTrue();
+    }
+
     @Test
     void tooFewKeepersKeepNothing() throws Exception {
         try (KeeperCluster cluster = new KeeperCluster(folder, "a", "b", "c")) {
