[build] Replace jqwik by seeded parameterised tests

Change: three tests draw their 200, 200 and 40 cases from fixed seeds of java.util.Random; the checks are unchanged.

--- a/skylarkmast-core/src/test/java/org/skylarkmast/core/key/ProgramKeyTest.java
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/key/ProgramKeyTest.java
@@ -2,12 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import net.jqwik.api.ForAll;
-import net.jqwik.api.Property;
-import net.jqwik.api.constraints.AlphaChars;
-import net.jqwik.api.constraints.StringLength;
+import java.util.Random;
+import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 class ProgramKeyTest {
 
@@ -19,10 +19,24 @@
         assertThat(key.depth()).isEqualTo(depth);
     }
 
-    @Property(seed = "7", tries = 200)
-    void keepsSubAgentsInThePartitionOfTheirRoot(
-            @ForAll @AlphaChars @StringLength(min = 1, max = 20) String root,
-            @ForAll @AlphaChars @StringLength(min = 1, max = 20) String child) {
+    static Stream<Arguments> names() {
+        Random random = new Random(7);
+        return Stream.generate(() -> Arguments.of(name(random), name(random))).limit(200);
+    }
+
+    private static String name(Random random) {
+        String letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ";
+        StringBuilder name = new StringBuilder();
+        int length = 1 + random.nextInt(20);
+        for (int i = 0; i < length; i++) {
+            name.append(letters.charAt(random.nextInt(letters.length())));
+        }
+        return name.toString();
+    }
+
+    @ParameterizedTest
+    @MethodSource("names")
+    void keepsSubAgentsInThePartitionOfTheirRoot(String root, String child) {
         int partition = new ProgramKey("cycle", root).partition();
         assertThat(new ProgramKey("cycle", root + "/" + child).partition()).isEqualTo(partition);
         assertThat(partition).isAtLeast(0);
--- a/skylarkmast-core/src/test/java/org/skylarkmast/core/scheduling/CallSchedulerPropertyTest.java
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/scheduling/CallSchedulerPropertyTest.java
@@ -10,16 +10,22 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import net.jqwik.api.ForAll;
-import net.jqwik.api.Property;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.skylarkmast.core.key.ProgramKey;
 
 class CallSchedulerPropertyTest {
     private static final int STEPS = 400;
     private static final int RUNNERS = 3;
 
-    @Property(tries = 200, seed = "20261203")
-    void everyCallEndsOnceAndTruthfully(@ForAll long seed) {
+    static LongStream seeds() {
+        return new Random(20261203).longs(200);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void everyCallEndsOnceAndTruthfully(long seed) {
         RandomRun run = new RandomRun(new Random(seed));
         for (int step = 0; step < STEPS; step++) {
             run.step();
--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/ownership/InterleavingTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/ownership/InterleavingTest.java
@@ -8,9 +8,9 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
-import net.jqwik.api.ForAll;
-import net.jqwik.api.Property;
-import net.jqwik.api.ShrinkingMode;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.skylarkmast.core.key.ProgramKey;
 import org.skylarkmast.core.ownership.OwnershipSettings;
 import org.skylarkmast.daemon.journal.JournalReader;
@@ -28,8 +28,13 @@
     /** Records go to few partitions, so that their owners change often under load. */
     private static final int USED_PARTITIONS = 6;
 
-    @Property(tries = 40, seed = "20261203", shrinking = ShrinkingMode.OFF)
-    void committedRecordsAreReplayedOnceAndInOrder(@ForAll long seed) {
+    static LongStream seeds() {
+        return new Random(20261203).longs(40);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void committedRecordsAreReplayedOnceAndInOrder(long seed) {
         Simulation simulation = new Simulation(seed);
         FakeStore store = new FakeStore(simulation);
         List<SimulatedNode> cluster = new ArrayList<>();
