[relay] Resume at no more runners than allowed; wait for room with growing pauses; learn speed from tokens made

Cause, from reading: a runner that broke a stream off and then had no room was forgotten, so the rest went to another runner beyond the route's limit. A request gave up after 60 sends, some 8 rounds of 15 ms over full runners. A runner's speed was learned per token allowed, not per token made, which is noise fourfold.

Ruled out: counting runners that cannot be reached (they count as ended, as before).

Change: only a runner that is not there any more stops counting; pauses double from 10 to 80 ms and 200 sends are allowed; speed is learned from the tokens handed on, and the caller's estimate of the length is used for the choice. Before: EntryNodeStreamTest.resumesAtNoMoreRunnersThanAllowed failed with the old SendLoop; waitsForRoomWhileThereIsTime passed with both and stays as a bound. After: 36 of 36.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/CallMetadata.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/CallMetadata.java
@@ -12,6 +12,7 @@
  * @param tokenBudget tokens that all turns of the program may generate, or {@link #UNSET}
  * @param promptTokens length of the prompt, 0 if not said
  * @param maxOutputTokens most tokens that the answer has, 0 if not said
+ * @param expectedOutputTokens the caller's estimate of the answer's length, 0 if not said
  * @param prompt parts of the prompt, in order
  * @param previousTurn request id of the turn this one continues from, empty if none
  * @param lastEventId last event the caller has of a stream it resumes, empty if none
@@ -23,6 +24,7 @@
         long tokenBudget,
         int promptTokens,
         int maxOutputTokens,
+        int expectedOutputTokens,
         List<PromptPart> prompt,
         String previousTurn,
         String lastEventId) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -35,6 +35,9 @@
     /** Time for the answer to an expired request to leave before its connection is cut. */
     private static final long CUT_AFTER_MS = 300;
 
+    /** An answer is mostly about a quarter as long as the most that its caller allows. */
+    private static final int USUAL_SHARE_OF_MOST = 4;
+
     /** Part of a turn's time that may pass while too few keepers answer. */
     private static final int PATIENCE_DIVISOR = 3;
 
@@ -269,7 +272,7 @@
                             Framing.endToEnd(request.fields()),
                             body,
                             route.priority(),
-                            stream ? Math.max(1, call.maxOutputTokens()) : 1,
+                            stream ? expectedTokens() : 1,
                             call.prompt(),
                             stream,
                             this::keep);
@@ -339,6 +342,12 @@
             return joined.toByteArray();
         }
 
+        private int expectedTokens() {
+            return call.expectedOutputTokens() > 0
+                    ? call.expectedOutputTokens()
+                    : Math.max(1, call.maxOutputTokens() / USUAL_SHARE_OF_MOST);
+        }
+
         private long patienceMs() {
             return Math.max(1, exchange.leftMs() / PATIENCE_DIVISOR);
         }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSend.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSend.java
@@ -110,7 +110,10 @@
             reusable = result instanceof SendResult.Delivered;
             if (reusable && answer.status() < 300) {
                 pool.succeeded(
-                        runner, System.nanoTime() - sentNs, request.units(), request.prompt());
+                        runner,
+                        System.nanoTime() - sentNs,
+                        doneUnits(request, sink),
+                        request.prompt());
             } else if (answer.status() >= 500) {
                 pool.failed(runner);
             }
@@ -130,6 +133,11 @@
         }
     }
 
+    /** Work that was done: the tokens of a stream, which are often far fewer than expected. */
+    private static double doneUnits(Outgoing request, AnswerSink sink) {
+        return request.stream() ? Math.max(1, sink.tokens()) : request.units();
+    }
+
     private void write(
             Outgoing request,
             Runner runner,
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendLoop.java
@@ -16,8 +16,10 @@
  */
 final class SendLoop {
 
-    /** Pause before runners that had no room are tried again. */
-    private static final long FULL_PAUSE_MS = 15;
+    /** First pause before runners that had no room are tried again; it doubles each time. */
+    private static final long FIRST_FULL_PAUSE_MS = 10;
+
+    private static final long MAX_FULL_PAUSE_MS = 80;
 
     /** Pause while a service has no usable runner. */
     private static final long NO_RUNNER_PAUSE_MS = 30;
@@ -26,7 +28,7 @@
     private static final int MAX_REPEATS = 3;
 
     /** Sends in all, so that one request does not try forever against refusing runners. */
-    private static final int MAX_SENDS = 60;
+    private static final int MAX_SENDS = 200;
 
     private final RunnerPool pool;
     private final RunnerSend sender;
@@ -41,6 +43,7 @@
 
     private final Set<String> excluded = new HashSet<>();
     private String lastRunner = "";
+    private long fullPauseMs = FIRST_FULL_PAUSE_MS;
     private int sends;
     private int repeats;
 
@@ -111,6 +114,10 @@
             }
             case SendResult.NotRun notRun -> {
                 excluded.add(runner.incarnation());
+                if (!notRun.full()) {
+                    // It is not there any more, so it does not count against the limit.
+                    used.remove(runner.incarnation());
+                }
                 yield null;
             }
             case SendResult.MayHaveRun mayHaveRun -> {
@@ -145,17 +152,15 @@
                     return runner;
                 }
             }
-            // It cannot be reached any more, so it counts as ended.
-            if (!used.isEmpty() && excluded.containsAll(used.keySet())) {
-                used.clear();
-            }
+            return null;
         }
         return pool.choose(service, request.units(), request.prompt(), excluded, false);
     }
 
     private void pauseForRunner() throws InterruptedException {
         boolean any = pool.hasRunners(service);
-        exchange.pause(any ? FULL_PAUSE_MS : NO_RUNNER_PAUSE_MS);
+        exchange.pause(any ? fullPauseMs : NO_RUNNER_PAUSE_MS);
+        fullPauseMs = Math.min(MAX_FULL_PAUSE_MS, fullPauseMs * 2);
         excluded.clear();
     }
 
