[keeper] Fetch before being added to the view; hold turns over the moment in which the view changes

Ruled out: the store's outage from 3 to 7.3 s (turns went on through it); entry nodes with an old view (none was refused 409).

Change: a registered keeper fetches before it is a member and is added only then; a changed view starts a round at once instead of within 500 ms; an entry node believes in a quorum 0.7 s longer than it was seen, so that a turn waits for the last records. ViewChangeTest "a new one that has not fetched is not added" fails without the change; aNewKeeperHasFetchedBeforeItIsAdded passes with both and stays as a bound.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/keeper/KeeperCoordinator.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/keeper/KeeperCoordinator.java
@@ -79,7 +79,7 @@
             return;
         }
         ping(view);
-        if (view.contains(membership.self()) && membership.syncedVersion() != view.version()) {
+        if (fetches(view)) {
             List<KeeperView.Member> leaving = new ArrayList<>(registry.registered());
             leaving.addAll(previousView.members());
             leaving.removeAll(view.members());
@@ -92,6 +92,14 @@
         }
     }
 
+    /** A keeper fetches after each change of the view, also before it is a member. */
+    private boolean fetches(KeeperView view) {
+        boolean stays =
+                view.contains(membership.self())
+                        || !registry.retiring().contains(membership.self().node());
+        return stays && membership.syncedVersion() != view.version();
+    }
+
     private void found() {
         if (mayFound && registry.viewKnown() && !registry.registered().isEmpty()) {
             KeeperView first = KeeperView.NONE.with(membership.self());
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/keeper/KeeperMembership.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/keeper/KeeperMembership.java
@@ -71,6 +71,12 @@
         LOG.atInfo().addKeyValue("event", "keeper_synced").addKeyValue("view", version).log();
     }
 
+    /** Notes that this keeper, not a member yet, fetched what the members of a view hold. */
+    public void prefetched(long version) {
+        syncedVersion = Math.max(syncedVersion, version);
+        LOG.atInfo().addKeyValue("event", "keeper_prefetched").addKeyValue("view", version).log();
+    }
+
     private void writeMarker() {
         Path marker = folder.resolve(MARKER);
         try (FileChannel channel =
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/keeper/KeeperSync.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/keeper/KeeperSync.java
@@ -43,7 +43,8 @@
 
     /**
      * Fetches from the members of {@code view}, and from {@code leaving}, which may hold copies
-     * too.
+     * too. A keeper that is no member yet fetches beforehand, so that little is left to fetch once
+     * it is one and takes no part until then.
      *
      * @return whether enough members were read to hold all that was acknowledged
      */
@@ -61,7 +62,11 @@
         if (read < Math.min(needed, others.size()) || views.current().version() != view.version()) {
             return false;
         }
-        membership.synced(view.version());
+        if (view.contains(membership.self())) {
+            membership.synced(view.version());
+        } else {
+            membership.prefetched(view.version());
+        }
         return true;
     }
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/keeper/ViewChange.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/keeper/ViewChange.java
@@ -52,7 +52,8 @@
         for (KeeperView.Member candidate : candidates) {
             if (!view.contains(candidate)
                     && !retiring.contains(candidate.node())
-                    && reachable(peers, candidate)) {
+                    && reachable(peers, candidate)
+                    && peers.get(candidate).status().syncedVersion() == view.version()) {
                 return view.with(candidate);
             }
         }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
@@ -29,6 +29,12 @@
     /** Time since a keeper's last answer for which it counts as reachable. */
     private static final long REACHABLE_MS = 1200;
 
+    /**
+     * Time for which a quorum is still believed in: a keeper that was just added takes a moment to
+     * fetch the last records and answer.
+     */
+    private static final long VIEW_CHANGE_MS = 700;
+
     /** Silence after which a keeper is asked, so that it does not count as unreachable for that. */
     private static final long PROBE_AFTER_MS = 300;
 
@@ -40,6 +46,7 @@
     private final ExecutorService executor;
     private final Map<String, Long> suspectedUntilNs = new ConcurrentHashMap<>();
     private final Map<String, Long> answeredNs = new ConcurrentHashMap<>();
+    private volatile long reachableUntilNs;
 
     /** Two rounds of a reservation: what a keeper reports. */
     private record Report(List<Usage> usages) {}
@@ -80,7 +87,12 @@
         KeeperView view = views.current();
         long answered =
                 view.members().stream().filter(member -> silentMs(member) < REACHABLE_MS).count();
-        return !view.members().isEmpty() && answered >= view.writeQuorum();
+        long nowNs = System.nanoTime();
+        if (!view.members().isEmpty() && answered >= view.writeQuorum()) {
+            reachableUntilNs = nowNs + TimeUnit.MILLISECONDS.toNanos(VIEW_CHANGE_MS);
+            return true;
+        }
+        return reachableUntilNs != 0 && nowNs - reachableUntilNs < 0;
     }
 
     /** Asks keepers that have been silent; called several times a second. */
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/KeeperNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/KeeperNode.java
@@ -4,6 +4,8 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import org.skylarkmast.http.HttpClient;
 import org.skylarkmast.http.HttpServer;
 import org.skylarkmast.relay.keeper.KeeperCoordinator;
@@ -30,7 +32,8 @@
 
     private static final int ROUNDS_PER_EXPIRY = 10;
 
-    private final ViewHolder views = new ViewHolder(view -> {});
+    private final Semaphore wakeUps = new Semaphore(0);
+    private final ViewHolder views = new ViewHolder(view -> wakeUps.release());
     private final KeeperIndex index;
     private final KeeperMembership membership;
     private final KeeperView.Member self;
@@ -117,7 +120,10 @@
                 } catch (RuntimeException e) {
                     LOG.atError().addKeyValue("event", "round_failed").setCause(e).log();
                 }
-                Thread.sleep(ROUND_MS);
+                // A new view is acted on at once: until then this keeper may take no part.
+                if (wakeUps.tryAcquire(ROUND_MS, TimeUnit.MILLISECONDS)) {
+                    wakeUps.drainPermits();
+                }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/keeper/KeeperCluster.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/keeper/KeeperCluster.java
@@ -134,6 +134,16 @@
         }
     }
 
+    /** Runs one round of one keeper. */
+    void round(String node) throws InterruptedException {
+        keepers.get(node).coordinator.round();
+    }
+
+    /** Turns that a keeper holds. */
+    int turns(String node) {
+        return keepers.get(node).index.turnCount();
+    }
+
     /** Stops a keeper; its disk stays. */
     void stop(String node) {
         Keeper keeper = keepers.get(node);
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/keeper/KeeperClusterTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/keeper/KeeperClusterTest.java
@@ -247,6 +247,27 @@
         }
     }
 
+    /** With a member lost for good, the new one is needed for a quorum as soon as it is added. */
+    @Test
+    void aNewKeeperHasFetchedBeforeItIsAdded() throws Exception {
+        try (KeeperCluster cluster = new KeeperCluster(folder, "a", "b", "c")) {
+            LedgerClient client = cluster.client();
+            appendChain(client);
+            cluster.stop("a");
+            cluster.add("d");
+            while (cluster.view().members().size() == 3) {
+                cluster.round("b");
+                cluster.round("c");
+                boolean added = cluster.view().members().size() == 4;
+                assertThat(added && cluster.turns("d") == 0).isFalse();
+                cluster.round("d");
+            }
+            cluster.round("d");
+            assertThat(cluster.voting("d")).isTrue();
+            assertThat(client.append("", turn("t3", "t2"), 0, PATIENCE_MS)).isTrue();
+        }
+    }
+
     @Test
     void settledTokensAreFreeAgain() throws Exception {
         try (KeeperCluster cluster = new KeeperCluster(folder, "a", "b", "c")) {
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/keeper/ViewChangeTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/keeper/ViewChangeTest.java
@@ -64,6 +64,13 @@
                         List.of(D),
                         Set.of(),
                         null),
+                Arguments.of(
+                        "a new one that has not fetched is not added",
+                        ABC,
+                        looks(ABC, "d=BEHIND", D),
+                        List.of(D),
+                        Set.of(),
+                        null),
                 Arguments.of(
                         "a new one to be emptied is not added",
                         ABC,
