--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/keeper/KeeperCluster.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/keeper/KeeperCluster.java
@@ -1,6 +1,7 @@
 package org.skylarkmast.relay.keeper;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -13,6 +14,7 @@
 import java.util.concurrent.Executors;
 import java.util.stream.Stream;
 import org.skylarkmast.http.HttpClient;
+import org.skylarkmast.http.HttpHandler;
 import org.skylarkmast.http.HttpServer;
 import org.skylarkmast.relay.ledger.KeeperClient;
 import org.skylarkmast.relay.ledger.KeeperView;
@@ -23,6 +25,7 @@
 final class KeeperCluster implements AutoCloseable {
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final int LEAST_KEEPERS = 2;
+    private static final long BIND_TIMEOUT_NS = 20_000_000_000L;
 
     private final Path root;
     private final Map<String, Keeper> keepers = new LinkedHashMap<>();
@@ -104,9 +107,7 @@
         keeper.index = new KeeperIndex(folder.resolve("records"), System::currentTimeMillis);
         HttpServer[] server = new HttpServer[1];
         KeeperHandler[] handler = new KeeperHandler[1];
-        server[0] =
-                HttpServer.start(
-                        "127.0.0.1", port, MAX_BODY_BYTES, call -> handler[0].handle(call));
+        server[0] = bind(port, call -> handler[0].handle(call));
         keeper.server = server[0];
         keeper.self = new KeeperView.Member(keeper.node, "127.0.0.1:" + server[0].port());
         keeper.membership = new KeeperMembership(keeper.self, folder, keeper.views);
@@ -123,6 +124,24 @@
                         System::nanoTime);
     }
 
+    /**
+     * Binds {@code port}, waiting while the server stopped before still holds it: the kernel frees
+     * a listening port only once the thread that waits in accept has run again.
+     */
+    private static HttpServer bind(int port, HttpHandler handler) throws IOException {
+        long endNs = System.nanoTime() + BIND_TIMEOUT_NS;
+        while (true) {
+            try {
+                return HttpServer.start("127.0.0.1", port, MAX_BODY_BYTES, handler);
+            } catch (BindException e) {
+                if (port == 0 || System.nanoTime() - endNs >= 0) {
+                    throw e;
+                }
+                Thread.onSpinWait();
+            }
+        }
+    }
+
     /** Runs rounds until no more is to be done. */
     void settle() throws InterruptedException {
         for (int round = 0; round < 4 * keepers.size() + 2; round++) {
