[test] List a flaky proof of the daemon as known red

The hosts' logs show 87 partitions lost again between 01:55:49 and 01:55:51, while the calls ran: ownership still moved as hosts had joined one after another. Why that left calls unknown is not traced.

Ruled out: nothing yet; load alone is not taken for the cause.

--- a/skylarkmast-dist/src/test/java/org/skylarkmast/dist/proof/BudgetProofTest.java
+++ b/skylarkmast-dist/src/test/java/org/skylarkmast/dist/proof/BudgetProofTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Future;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.skylarkmast.bench.caller.CallerOutcome;
@@ -39,6 +40,7 @@
     }
 
     @Test
+    @Tag("known-red")
     void parallelSubAgents() throws IOException {
         try (ProofRun run = proofs.begin("parallel sub-agents")) {
             String program = run.program("p");
