--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/KeeperReach.java
@@ -0,0 +1,148 @@
+package org.skylarkmast.relay.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Which keepers answer this process, and which one to ask next; thread-safe, no I/O.
+ *
+ * <p>Answers large fleets: a keeper that answers is believed in until a call fails, and only one of
+ * them is asked a second, so the cost of a node does not grow with the number of keepers.
+ */
+final class KeeperReach {
+    private static final Logger LOG = LoggerFactory.getLogger(KeeperReach.class);
+
+    /** Time since a keeper's last answer for which a failed call does not yet make it count out. */
+    private static final long REACHABLE_MS = 1200;
+
+    /**
+     * Time for which a quorum is still believed in: a keeper that was just added takes a moment to
+     * fetch the last records and answer.
+     */
+    private static final long VIEW_CHANGE_MS = 700;
+
+    /** Time for which a keeper that failed is not waited for beyond the quorum. */
+    private static final long SUSPECT_MS = 2000;
+
+    /** Silence after which a keeper that answered is asked again, one keeper at a time. */
+    private static final long QUIET_MS = 1000;
+
+    /** Silence after which all are asked once one of them failed: a cut rarely hides just one. */
+    private static final long ALARMED_QUIET_MS = 300;
+
+    private static final long NEVER = Long.MIN_VALUE;
+
+    private final LongSupplier clockNs;
+    private final Map<String, Contact> contacts = new ConcurrentHashMap<>();
+    private volatile long believedUntilNs = NEVER;
+    private volatile long roundAskedNs = NEVER;
+
+    /**
+     * What is known of one keeper.
+     *
+     * @param answeredNs last answer, {@link #NEVER} before the first
+     * @param failedNs last failed call since then, {@link #NEVER} if none
+     */
+    private record Contact(long answeredNs, long failedNs) {}
+
+    KeeperReach(LongSupplier clockNs) {
+        this.clockNs = clockNs;
+    }
+
+    /** Takes the end of a call. */
+    void note(KeeperView.Member member, boolean answered) {
+        long nowNs = clockNs.getAsLong();
+        Contact before =
+                contacts.put(
+                        member.address(),
+                        answered
+                                ? new Contact(nowNs, NEVER)
+                                : new Contact(contact(member).answeredNs(), nowNs));
+        boolean failing = before != null && before.failedNs() != NEVER;
+        if (answered && failing) {
+            log("keeper_regained", member);
+        } else if (!answered && !failing) {
+            log("keeper_lost", member);
+        }
+    }
+
+    /** Whether the last call failed, and so lately that the keeper is not waited for. */
+    boolean suspected(KeeperView.Member member) {
+        long failedNs = contact(member).failedNs();
+        return failedNs != NEVER && sinceMs(failedNs) < SUSPECT_MS;
+    }
+
+    /** Whether a quorum of {@code view} is believed to answer. */
+    boolean quorum(KeeperView view) {
+        long answering = view.members().stream().filter(this::answers).count();
+        long nowNs = clockNs.getAsLong();
+        if (!view.members().isEmpty() && answering >= view.writeQuorum()) {
+            believedUntilNs = nowNs + TimeUnit.MILLISECONDS.toNanos(VIEW_CHANGE_MS);
+            return true;
+        }
+        return believedUntilNs != NEVER && nowNs - believedUntilNs < 0;
+    }
+
+    private boolean answers(KeeperView.Member member) {
+        Contact contact = contact(member);
+        return contact.answeredNs() != NEVER
+                && (contact.failedNs() == NEVER || sinceMs(contact.answeredNs()) < REACHABLE_MS);
+    }
+
+    /** The members to ask now; called several times a second. */
+    List<KeeperView.Member> due(KeeperView view) {
+        contacts.keySet()
+                .removeIf(
+                        address ->
+                                view.members().stream()
+                                        .noneMatch(member -> member.address().equals(address)));
+        List<KeeperView.Member> due = new ArrayList<>();
+        boolean alarmed = false;
+        for (KeeperView.Member member : view.members()) {
+            Contact contact = contact(member);
+            if (contact.answeredNs() == NEVER || contact.failedNs() != NEVER) {
+                due.add(member);
+                alarmed = true;
+            }
+        }
+        KeeperView.Member quietest = null;
+        for (KeeperView.Member member : view.members()) {
+            long silentMs = silentMs(member);
+            if (alarmed && silentMs >= ALARMED_QUIET_MS && !due.contains(member)) {
+                due.add(member);
+            }
+            if (silentMs >= QUIET_MS && (quietest == null || silentMs > silentMs(quietest))) {
+                quietest = member;
+            }
+        }
+        boolean roundDue = roundAskedNs == NEVER || sinceMs(roundAskedNs) >= QUIET_MS;
+        if (!alarmed && quietest != null && roundDue) {
+            roundAskedNs = clockNs.getAsLong();
+            due.add(quietest);
+        }
+        return due;
+    }
+
+    private long silentMs(KeeperView.Member member) {
+        long answeredNs = contact(member).answeredNs();
+        return answeredNs == NEVER ? Long.MAX_VALUE : sinceMs(answeredNs);
+    }
+
+    private Contact contact(KeeperView.Member member) {
+        return contacts.getOrDefault(member.address(), new Contact(NEVER, NEVER));
+    }
+
+    private long sinceMs(long ns) {
+        return TimeUnit.NANOSECONDS.toMillis(clockNs.getAsLong() - ns);
+    }
+
+    private static void log(String event, KeeperView.Member member) {
+        LOG.atWarn().addKeyValue("event", event).addKeyValue("keeper", member).log();
+    }
+}
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
@@ -4,8 +4,6 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -21,32 +19,15 @@
     /** Wait for the slower keepers after a quorum answered, which saves a second round. */
     private static final long STRAGGLER_MS = 12;
 
-    /** Time for which a keeper that failed is not waited for beyond the quorum. */
-    private static final long SUSPECT_MS = 2000;
-
     private static final long RETRY_PAUSE_MS = 40;
 
-    /** Time since a keeper's last answer for which it counts as reachable. */
-    private static final long REACHABLE_MS = 1200;
-
-    /**
-     * Time for which a quorum is still believed in: a keeper that was just added takes a moment to
-     * fetch the last records and answer.
-     */
-    private static final long VIEW_CHANGE_MS = 700;
-
-    /** Silence after which a keeper is asked, so that it does not count as unreachable for that. */
-    private static final long PROBE_AFTER_MS = 300;
-
     private static final int SETTLE_ROUNDS = 4;
 
     private final ViewHolder views;
     private final KeeperClient keepers;
     private final String ownFailureDomainAddressHint;
     private final ExecutorService executor;
-    private final Map<String, Long> suspectedUntilNs = new ConcurrentHashMap<>();
-    private final Map<String, Long> answeredNs = new ConcurrentHashMap<>();
-    private volatile long reachableUntilNs;
+    private final KeeperReach reach = new KeeperReach(System::nanoTime);
 
     /** Two rounds of a reservation: what a keeper reports. */
     private record Report(List<Usage> usages) {}
@@ -84,43 +65,28 @@
 
     @Override
     public boolean reachable() {
-        KeeperView view = views.current();
-        long answered =
-                view.members().stream().filter(member -> silentMs(member) < REACHABLE_MS).count();
-        long nowNs = System.nanoTime();
-        if (!view.members().isEmpty() && answered >= view.writeQuorum()) {
-            reachableUntilNs = nowNs + TimeUnit.MILLISECONDS.toNanos(VIEW_CHANGE_MS);
-            return true;
-        }
-        return reachableUntilNs != 0 && nowNs - reachableUntilNs < 0;
+        return reach.quorum(views.current());
     }
 
-    /** Asks keepers that have been silent; called several times a second. */
+    /** Asks keepers that were not heard from for a time; called several times a second. */
     public void probe() {
         KeeperView view = views.current();
         byte[] body = LedgerCodec.encode(out -> LedgerCodec.writeView(out, view));
-        for (KeeperView.Member member : view.members()) {
-            if (silentMs(member) >= PROBE_AFTER_MS) {
-                executor.execute(
-                        () ->
-                                note(
-                                        member,
-                                        keepers.call(
-                                                        member,
-                                                        view.version(),
-                                                        LedgerOperation.PING,
-                                                        body,
-                                                        CALL_TIMEOUT_MS,
-                                                        LedgerClient::readVoting)
-                                                != null));
-            }
+        for (KeeperView.Member member : reach.due(view)) {
+            executor.execute(() -> probe(member, view, body));
         }
-        answeredNs
-                .keySet()
-                .removeIf(
-                        address ->
-                                view.members().stream()
-                                        .noneMatch(member -> member.address().equals(address)));
+    }
+
+    private void probe(KeeperView.Member member, KeeperView view, byte[] body) {
+        Boolean voting =
+                keepers.call(
+                        member,
+                        view.version(),
+                        LedgerOperation.PING,
+                        body,
+                        CALL_TIMEOUT_MS,
+                        LedgerClient::readVoting);
+        reach.note(member, voting != null);
     }
 
     /** Reads whether a keeper takes part in quorums; null if it does not. */
@@ -129,13 +95,6 @@
         return in.readBoolean() ? Boolean.TRUE : null;
     }
 
-    private long silentMs(KeeperView.Member member) {
-        Long answered = answeredNs.get(member.address());
-        return answered == null
-                ? Long.MAX_VALUE
-                : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - answered);
-    }
-
     private ReserveOutcome tryReserve(Reservation claim) throws InterruptedException {
         KeeperView view = views.current();
         int all = view.members().size();
@@ -302,7 +261,7 @@
         order.sort(
                 java.util.Comparator.comparing(
                         member ->
-                                (suspected(member) ? 2 : 0)
+                                (reach.suspected(member) ? 2 : 0)
                                         + (member.address().startsWith(ownFailureDomainAddressHint)
                                                 ? 0
                                                 : 1)));
@@ -344,7 +303,7 @@
                                             CALL_TIMEOUT_MS,
                                             reader);
                         } finally {
-                            note(member, answer != null);
+                            reach.note(member, answer != null);
                             gathering.ended(answer);
                         }
                     });
@@ -354,7 +313,7 @@
         if (wantAll && answers.size() < all) {
             int expected = 0;
             for (KeeperView.Member member : members) {
-                expected += suspected(member) ? 0 : 1;
+                expected += reach.suspected(member) ? 0 : 1;
             }
             if (answers.size() < expected) {
                 answers = gathering.await(expected, STRAGGLER_MS);
@@ -363,32 +322,6 @@
         return answers;
     }
 
-    private boolean suspected(KeeperView.Member member) {
-        Long until = suspectedUntilNs.get(member.address());
-        return until != null && System.nanoTime() - until < 0;
-    }
-
-    private void note(KeeperView.Member member, boolean answered) {
-        if (answered) {
-            answeredNs.put(member.address(), System.nanoTime());
-            if (suspectedUntilNs.remove(member.address()) != null) {
-                log("keeper_regained", member);
-            }
-        } else {
-            Long before =
-                    suspectedUntilNs.put(
-                            member.address(),
-                            System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SUSPECT_MS));
-            if (before == null) {
-                log("keeper_lost", member);
-            }
-        }
-    }
-
-    private static void log(String event, KeeperView.Member member) {
-        LOG.atWarn().addKeyValue("event", event).addKeyValue("keeper", member).log();
-    }
-
     private static byte[] settlement(String program, String attempt, int tokens, long retentionMs) {
         return LedgerCodec.encode(
                 out -> {
