[relay] Let keepers relay the platform's store and add up what entry nodes see of runners

Ruled out: longer watches (a silent connection must be noticed within 5 s); a load report of each runner (priced as a probe).

Change: slice mirror: keepers watch the store, tell each other what is new, and answer entry nodes' questions, which wait up to 1 s for news; an entry node reads the store itself at its start and after 1.2 s without a keeper in touch with it. Slice tally: entry nodes report each second what they sent and what came of it; keepers add it up in memory. A choice goes by the fleet's speeds, loads and failures, and looks at six runners drawn by lot, so that 67 nodes do not all choose the same. What lapsed in an outage is kept by the mirror now, also where four keys or more vanish at one reading; RunnerDirectory lost that.

FleetLearningTest plays 60 entry nodes over 30 runners: all three cases fail with nodes that learn alone. StoreMirrorTest found on its way that a key which a mirror dropped late was kept for ever by one that had asked before: questions carry a digest now.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendLoop.java
@@ -24,6 +24,9 @@
     /** Pause while a service has no usable runner. */
     private static final long NO_RUNNER_PAUSE_MS = 30;
 
+    /** What a failure costs that another send can make good: about one more answer. */
+    private static final double REPEAT_COST_MS = 200;
+
     /** Sends of a repeatable request that may have run before it is given up. */
     private static final int MAX_REPEATS = 3;
 
@@ -154,7 +157,8 @@
             }
             return null;
         }
-        return pool.choose(service, request.units(), request.prompt(), excluded, false);
+        double failureCostMs = route.repeatable() ? REPEAT_COST_MS : route.timeoutMs();
+        return pool.choose(service, request.units(), request.prompt(), failureCostMs, excluded);
     }
 
     private void pauseForRunner() throws InterruptedException {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/keeper/KeeperHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/keeper/KeeperHandler.java
@@ -20,6 +20,11 @@
 import org.skylarkmast.relay.ledger.TurnRecord;
 import org.skylarkmast.relay.ledger.Usage;
 import org.skylarkmast.relay.ledger.ViewHolder;
+import org.skylarkmast.relay.mirror.MirrorChanges;
+import org.skylarkmast.relay.mirror.MirrorCodec;
+import org.skylarkmast.relay.mirror.MirrorExchange;
+import org.skylarkmast.relay.tally.TallyBook;
+import org.skylarkmast.relay.tally.TallyCodec;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,12 +43,21 @@
     private final KeeperIndex index;
     private final KeeperMembership membership;
     private final ViewHolder views;
+    private final TallyBook tallies;
+    private final MirrorExchange mirror;
 
     /** Creates a handler over {@code index}. */
-    public KeeperHandler(KeeperIndex index, KeeperMembership membership, ViewHolder views) {
+    public KeeperHandler(
+            KeeperIndex index,
+            KeeperMembership membership,
+            ViewHolder views,
+            TallyBook tallies,
+            MirrorExchange mirror) {
         this.index = index;
         this.membership = membership;
         this.views = views;
+        this.tallies = tallies;
+        this.mirror = mirror;
     }
 
     @Override
@@ -57,6 +71,15 @@
                 views.offer(LedgerCodec.decode(call.body(), LedgerCodec::readView));
                 return reply(membership.status()::write);
             }
+            if (operation == LedgerOperation.REPORT) {
+                return LedgerCodec.decode(call.body(), this::report);
+            }
+            if (operation == LedgerOperation.CHANGES) {
+                return LedgerCodec.decode(call.body(), this::changes);
+            }
+            if (operation == LedgerOperation.TALLIES) {
+                return reply(out -> TallyCodec.write(out, tallies.own()));
+            }
             long version = Long.parseLong(call.query().getOrDefault("view", "0"));
             KeeperView view = views.current();
             if (version < view.version()) {
@@ -79,7 +102,8 @@
     private boolean mayAnswer(LedgerOperation operation) {
         return switch (operation) {
             case SUMMARY, FETCH -> membership.complete();
-            case RESERVE, USAGE, SETTLE, APPEND, CHAIN, PING -> membership.voting();
+            case RESERVE, USAGE, SETTLE, APPEND, CHAIN, PING, REPORT, TALLIES, CHANGES ->
+                    membership.voting();
         };
     }
 
@@ -106,10 +130,26 @@
             }
             case SUMMARY -> reply(this::writeSummary);
             case FETCH -> fetch(in);
-            case PING -> reply(membership.status()::write);
+            // Answered without a look at the view.
+            case PING, REPORT, TALLIES, CHANGES -> throw new IllegalStateException("not of a view");
         };
     }
 
+    private HttpReply changes(DataInputStream in) throws IOException {
+        try {
+            MirrorChanges changes = mirror.answer(MirrorCodec.readQuestion(in));
+            return reply(out -> MirrorCodec.write(out, changes));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return HttpReply.text(UNAVAILABLE, "ending\n");
+        }
+    }
+
+    private HttpReply report(DataInputStream in) throws IOException {
+        tallies.report(in.readUTF(), TallyCodec.read(in));
+        return reply(out -> TallyCodec.write(out, tallies.all()));
+    }
+
     private HttpReply reserve(DataInputStream in) throws IOException {
         String program = in.readUTF();
         Usage usage = new Usage(in.readUTF(), in.readInt(), false);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
@@ -95,6 +95,23 @@
         return in.readBoolean() ? Boolean.TRUE : null;
     }
 
+    /**
+     * Asks the nearest keeper that answers, of what any keeper may tell.
+     *
+     * @return its answer, or null
+     */
+    public <T> T askNearest(
+            LedgerOperation operation, byte[] body, long timeoutMs, LedgerCodec.Reader<T> reader) {
+        KeeperView view = views.current();
+        if (view.members().isEmpty()) {
+            return null;
+        }
+        KeeperView.Member nearest = nearestFirst(view).getFirst();
+        T answer = keepers.call(nearest, view.version(), operation, body, timeoutMs, reader);
+        reach.note(nearest, answer != null);
+        return answer;
+    }
+
     private ReserveOutcome tryReserve(Reservation claim) throws InterruptedException {
         KeeperView view = views.current();
         int all = view.members().size();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerOperation.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerOperation.java
@@ -17,7 +17,13 @@
     /** Returns turns by id, for another keeper. */
     FETCH("fetch"),
     /** Exchanges state between keepers. */
-    PING("ping");
+    PING("ping"),
+    /** Takes what an entry node saw of runners and tells what the fleet saw. */
+    REPORT("report"),
+    /** Tells what is new in the key-value service. */
+    CHANGES("changes"),
+    /** Tells another keeper what its entry nodes saw of runners. */
+    TALLIES("tallies");
 
     private final String path;
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StoreFollower.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreFollower.java
@@ -1,6 +1,5 @@
-package org.skylarkmast.relay.node;
+package org.skylarkmast.relay.mirror;
 
-import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.skylarkmast.core.store.KeyValueStore;
@@ -37,13 +36,13 @@
          *
          * @param afterOutage whether the store could not be read for a time before
          */
-        void all(List<StoreEntry> entries, boolean afterOutage);
+        void all(RangeResult read, boolean afterOutage);
 
         /** A key was written. */
         void written(StoreEntry entry);
 
-        /** A key was removed. */
-        void removed(String key);
+        /** A key was removed, at {@code revision}. */
+        void removed(String key, long revision);
 
         /** Time passed; called several times a second. */
         void tick();
@@ -102,7 +101,7 @@
                 .addKeyValue("afterOutage", outage)
                 .log();
         connected = true;
-        listener.all(read.entries(), outage);
+        listener.all(read, outage);
         // A queue of its own, so that nothing of an earlier watch is taken for this one's.
         LinkedBlockingQueue<WatchEvent> events = new LinkedBlockingQueue<>();
         Watch watch = store.watch(fromKey, toKey, read.revision() + 1, events::add);
@@ -126,7 +125,7 @@
                 yield true;
             }
             case WatchEvent.Removed removed -> {
-                listener.removed(removed.key());
+                listener.removed(removed.key(), removed.revision());
                 yield true;
             }
             case WatchEvent.Lost lost -> {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.skylarkmast.core.store.KeyValueStore;
 import org.skylarkmast.http.HttpClient;
 import org.skylarkmast.http.HttpReply;
 import org.skylarkmast.http.HttpServer;
@@ -18,10 +19,14 @@
 import org.skylarkmast.relay.ledger.KeeperClient;
 import org.skylarkmast.relay.ledger.LedgerClient;
 import org.skylarkmast.relay.ledger.ViewHolder;
+import org.skylarkmast.relay.mirror.KeyRange;
+import org.skylarkmast.relay.mirror.MirrorClient;
+import org.skylarkmast.relay.mirror.StoreMirror;
 import org.skylarkmast.relay.route.RoutingState;
 import org.skylarkmast.relay.runner.RunnerChooser;
 import org.skylarkmast.relay.runner.RunnerDirectory;
 import org.skylarkmast.relay.runner.RunnerPool;
+import org.skylarkmast.relay.tally.TallyReporter;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,6 +39,9 @@
     private static final long SWEEP_MS = 300;
     private static final long DRAIN_POLL_MS = 20;
 
+    /** Pause between reports of what was seen of runners; faults there last for seconds. */
+    private static final long REPORT_MS = 1000;
+
     /** Part of the grace period that is left unused, so that the process ends by itself. */
     private static final double UNUSED_GRACE = 1.0 / 6;
 
@@ -42,7 +50,7 @@
 
     private final RelaySettings settings;
     private final RoutingState routing = new RoutingState();
-    private final RunnerDirectory directory = new RunnerDirectory(System::nanoTime);
+    private final RunnerDirectory directory = new RunnerDirectory();
     private final ViewHolder views = new ViewHolder(view -> {});
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final CallerServer callers;
@@ -82,6 +90,8 @@
                         executor,
                         timers,
                         () -> ThreadLocalRandom.current().nextDouble());
+        TallyReporter reporter =
+                new TallyReporter(settings.node() + "/" + System.nanoTime(), pool, ledger);
         callers = new CallerServer(settings.callersAddress(), forwarder, routing, timers);
         var _ =
                 timers.scheduleWithFixedDelay(
@@ -89,6 +99,12 @@
                         SWEEP_MS,
                         SWEEP_MS,
                         TimeUnit.MILLISECONDS);
+        var _ =
+                timers.scheduleWithFixedDelay(
+                        () -> executor.execute(reporter::report),
+                        REPORT_MS,
+                        REPORT_MS,
+                        TimeUnit.MILLISECONDS);
         gauge(
                 "skylarkmast_caller_connections",
                 "Open connections of callers.",
@@ -129,6 +145,13 @@
                                         : HttpReply.text(503, "not ready\n"));
     }
 
+    /** Starts to follow the key-value service, as {@code feed} understands what lies there. */
+    public void follow(KeyValueStore store, KeyRange keys, StoreMirror.Listener feed) {
+        StoreMirror mirror = new StoreMirror(feed, System::nanoTime);
+        // Lives as long as the process.
+        var _ = new MirrorClient(store, keys, mirror, ledger);
+    }
+
     /** Where configurations go. */
     public RoutingState routing() {
         return routing;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/KeeperNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/KeeperNode.java
@@ -6,6 +6,8 @@
 import java.nio.file.Path;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.skylarkmast.core.store.KeyValueStore;
 import org.skylarkmast.http.HttpClient;
 import org.skylarkmast.http.HttpServer;
 import org.skylarkmast.relay.keeper.KeeperCoordinator;
@@ -16,6 +18,12 @@
 import org.skylarkmast.relay.ledger.KeeperClient;
 import org.skylarkmast.relay.ledger.KeeperView;
 import org.skylarkmast.relay.ledger.ViewHolder;
+import org.skylarkmast.relay.mirror.KeyRange;
+import org.skylarkmast.relay.mirror.MirrorExchange;
+import org.skylarkmast.relay.mirror.StoreFollower;
+import org.skylarkmast.relay.mirror.StoreMirror;
+import org.skylarkmast.relay.tally.TallyBook;
+import org.skylarkmast.relay.tally.TallyExchange;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -32,21 +40,34 @@
 
     private static final int ROUNDS_PER_EXPIRY = 10;
 
+    /** Sums of runners are exchanged every second, as often as entry nodes report. */
+    private static final int ROUNDS_PER_SUMS = 2;
+
     private final Semaphore wakeUps = new Semaphore(0);
     private final ViewHolder views = new ViewHolder(view -> wakeUps.release());
+    private final TallyBook tallies = new TallyBook(System::nanoTime);
     private final KeeperIndex index;
     private final KeeperMembership membership;
     private final KeeperView.Member self;
     private final RelaySettings settings;
     private final KeeperClient keepers;
+    private final MirrorExchange mirror;
 
     /**
-     * Opens the disk and starts to answer.
+     * Opens the disk, follows the key-value service and starts to answer.
      *
+     * @param keys what is followed there
+     * @param feed makes the receiver of what lies there, which gives views to the holder
      * @throws IOException if the disk cannot be read or an address not be bound
      */
-    public KeeperNode(RelaySettings settings) throws IOException {
+    public KeeperNode(
+            RelaySettings settings,
+            KeyValueStore store,
+            KeyRange keys,
+            Function<ViewHolder, StoreMirror.Listener> feed)
+            throws IOException {
         this.settings = settings;
+        StoreMirror content = new StoreMirror(feed.apply(views), System::nanoTime);
         Path folder = settings.dataFolder();
         self =
                 new KeeperView.Member(
@@ -57,6 +78,8 @@
                 new KeeperClient(
                         new HttpClient(PEER_IDLE_CONNECTIONS, PEER_CONNECT_TIMEOUT_MS),
                         views::offer);
+        StoreFollower follower = new StoreFollower(store, keys.from(), keys.to(), content);
+        mirror = new MirrorExchange(content, keepers, follower::connected);
         PrometheusRegistry registry = new PrometheusRegistry();
         GaugeWithCallback.builder()
                 .name("skylarkmast_turns_held")
@@ -74,7 +97,7 @@
                         settings.ip(),
                         settings.internalPort(),
                         MAX_BODY_BYTES,
-                        new KeeperHandler(index, membership, views));
+                        new KeeperHandler(index, membership, views, tallies, mirror));
         LOG.atInfo()
                 .addKeyValue("event", "keeper_node_started")
                 .addKeyValue("settings", settings)
@@ -106,6 +129,25 @@
                         settings.toleratedLosses() + 1,
                         System::nanoTime);
         Thread.ofVirtual().name("keeper-rounds").start(() -> rounds(coordinator));
+        Thread.ofVirtual().name("keeper-exchange").start(this::exchange);
+    }
+
+    /** Tells and asks other keepers what is new, apart from the rounds that may wait for them. */
+    private void exchange() {
+        TallyExchange sums = new TallyExchange(tallies, keepers);
+        for (int round = 0; !Thread.currentThread().isInterrupted(); round++) {
+            try {
+                mirror.round(views.current(), self);
+                if (round % ROUNDS_PER_SUMS == 0) {
+                    sums.round(views.current(), self);
+                }
+                Thread.sleep(ROUND_MS);
+            } catch (RuntimeException e) {
+                LOG.atError().addKeyValue("event", "exchange_failed").setCause(e).log();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
     }
 
     private void rounds(KeeperCoordinator coordinator) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerChooser.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerChooser.java
@@ -1,13 +1,18 @@
 package org.skylarkmast.relay.runner;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.DoubleSupplier;
 
 /**
  * Chooses the runner with the least expected time for a request.
  *
- * <p>Answers light and moderate load, where speed and cached prompts decide, and bursts, where a
- * runner without a free slot counts as many times slower as it has requests waiting. Pure.
+ * <p>Answers light and moderate load, where speed and cached prompts decide; bursts, where a runner
+ * without a free slot counts as many times slower as it has requests waiting; runners that fail
+ * part of their requests, which count as slower by what a failure costs; and many entry nodes over
+ * the same runners, of which each looks at a few drawn by lot, as all of them know the same old
+ * loads and would choose the same best runner. Pure.
  */
 public final class RunnerChooser {
 
@@ -23,9 +28,24 @@
     /** Random part of a score, so that hosts that see the same do not all choose the same. */
     private static final double SCORE_NOISE = 0.04;
 
+    /**
+     * Runners that one choice looks at, beside the one with most of the prompt cached. Fewer would
+     * miss the fast ones of a mixed fleet, more would send all entry nodes to the same.
+     */
+    private static final int SAMPLE_SIZE = 6;
+
     private final String ownFailureDomain;
     private final DoubleSupplier random;
 
+    /**
+     * A request to place.
+     *
+     * @param units work: output tokens of a stream, 1 otherwise
+     * @param promptTokens length of the prompt, 0 if there is none
+     * @param failureCostMs time that a failure costs its caller
+     */
+    public record Work(double units, int promptTokens, double failureCostMs) {}
+
     /**
      * @param random uniform in [0, 1)
      */
@@ -34,24 +54,13 @@
         this.random = random;
     }
 
-    /**
-     * Chooses among {@code views}.
-     *
-     * @param units work of the request: output tokens of a stream, 1 otherwise
-     * @param promptTokens length of the prompt, 0 if there is none
-     * @param onlyFree whether runners without a believed free slot are left out
-     * @return the choice, or null if none qualifies
-     */
-    public RunnerView choose(
-            List<RunnerView> views, double units, int promptTokens, boolean onlyFree) {
+    /** Chooses among {@code views}; null if there are none. */
+    public RunnerView choose(List<RunnerView> views, Work work) {
         double knownMs = meanKnownMs(views);
         RunnerView best = null;
         double bestScore = 0;
-        for (RunnerView view : views) {
-            if (onlyFree && view.load() >= view.runner().slots()) {
-                continue;
-            }
-            double score = score(view, units, promptTokens, knownMs);
+        for (RunnerView view : candidates(views)) {
+            double score = score(view, work, knownMs);
             if (best == null || score < bestScore) {
                 best = view;
                 bestScore = score;
@@ -60,18 +69,40 @@
         return best;
     }
 
-    private double score(RunnerView view, double units, int promptTokens, double knownMs) {
+    private List<RunnerView> candidates(List<RunnerView> views) {
+        List<RunnerView> sound = views.stream().filter(view -> !view.avoided()).toList();
+        List<RunnerView> drawn = new ArrayList<>(sound.isEmpty() ? views : sound);
+        if (drawn.size() <= SAMPLE_SIZE) {
+            return drawn;
+        }
+        RunnerView warmest =
+                drawn.stream().max(Comparator.comparingInt(RunnerView::cachedTokens)).orElseThrow();
+        for (int i = 0; i < SAMPLE_SIZE; i++) {
+            int other = i + (int) (random.getAsDouble() * (drawn.size() - i));
+            RunnerView swapped = drawn.get(i);
+            drawn.set(i, drawn.get(other));
+            drawn.set(other, swapped);
+        }
+        List<RunnerView> candidates = new ArrayList<>(drawn.subList(0, SAMPLE_SIZE));
+        if (warmest.cachedTokens() > 0 && !candidates.contains(warmest)) {
+            candidates.add(warmest);
+        }
+        return candidates;
+    }
+
+    private double score(RunnerView view, Work work, double knownMs) {
         double perUnitMs = view.msPerUnit() == 0 ? knownMs : view.msPerUnit();
-        double workMs = perUnitMs * units;
+        double workMs = perUnitMs * work.units();
         int slots = view.runner().slots();
         double slowdown = 1 + SLOWDOWN_PER_REQUEST * Math.min(view.load(), slots);
         double waitMs =
                 view.load() < slots ? 0 : workMs * (view.load() - slots + 1) / slots + workMs / 2;
-        double prefillMs = Math.max(0, promptTokens - view.cachedTokens()) / PREFILL_TOKENS_PER_MS;
+        int coldTokens = Math.max(0, work.promptTokens() - view.cachedTokens());
+        double prefillMs = coldTokens / PREFILL_TOKENS_PER_MS;
         double wayMs = view.runner().failureDomain().equals(ownFailureDomain) ? 0 : OTHER_DOMAIN_MS;
-        double score = workMs * slowdown + waitMs + prefillMs + wayMs;
-        double noisy = score * (1 + SCORE_NOISE * random.getAsDouble());
-        return view.avoided() ? noisy + 1e6 : noisy;
+        double failureMs = view.failureShare() * work.failureCostMs();
+        double score = workMs * slowdown + waitMs + prefillMs + wayMs + failureMs;
+        return score * (1 + SCORE_NOISE * random.getAsDouble());
     }
 
     private static double meanKnownMs(List<RunnerView> views) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
@@ -1,11 +1,13 @@
 package org.skylarkmast.relay.runner;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
+import org.skylarkmast.relay.tally.RunnerTally;
 
 /** The usable runners with what was learned about them; thread-safe. */
 public final class RunnerPool {
@@ -26,6 +28,8 @@
     /**
      * Chooses a runner of {@code service}.
      *
+     * @param units work of the request: output tokens of a stream, 1 otherwise
+     * @param failureCostMs time that a failure costs the caller
      * @param excluded incarnations that are not considered
      * @return the choice, or null if none qualifies
      */
@@ -33,8 +37,8 @@
             String service,
             double units,
             List<PromptPart> prompt,
-            Set<String> excluded,
-            boolean onlyFree) {
+            double failureCostMs,
+            Set<String> excluded) {
         long nowNs = clockNs.getAsLong();
         List<RunnerView> views = new ArrayList<>();
         for (Runner runner : directory.usable(service)) {
@@ -46,10 +50,42 @@
         for (PromptPart part : prompt) {
             promptTokens += part.tokens();
         }
-        RunnerView chosen = chooser.choose(views, units, promptTokens, onlyFree);
+        RunnerView chosen =
+                chooser.choose(views, new RunnerChooser.Work(units, promptTokens, failureCostMs));
         return chosen == null ? null : chosen.runner();
     }
 
+    /** What was seen of runners since this was last called, and what is under way there. */
+    public List<RunnerTally> takeSeen() {
+        List<RunnerTally> seen = new ArrayList<>();
+        statsByIncarnation.forEach(
+                (incarnation, stats) -> {
+                    RunnerTally tally = stats.takeSeen(incarnation);
+                    if (!tally.isEmpty()) {
+                        seen.add(tally);
+                    }
+                });
+        return seen;
+    }
+
+    /**
+     * Takes what the fleet saw.
+     *
+     * @param own what of it this process reported last
+     */
+    public void learned(List<RunnerTally> all, List<RunnerTally> own) {
+        long nowNs = clockNs.getAsLong();
+        Map<String, Integer> ownUnderWay = new HashMap<>();
+        own.forEach(tally -> ownUnderWay.put(tally.incarnation(), tally.underWay()));
+        for (RunnerTally tally : all) {
+            if (directory.knows(tally.incarnation())) {
+                statsByIncarnation
+                        .computeIfAbsent(tally.incarnation(), incarnation -> new RunnerStats())
+                        .learned(tally, ownUnderWay.getOrDefault(tally.incarnation(), 0), nowNs);
+            }
+        }
+    }
+
     /** Whether {@code service} has any usable runner. */
     public boolean hasRunners(String service) {
         return !directory.usable(service).isEmpty();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerStats.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerStats.java
@@ -3,8 +3,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.skylarkmast.relay.tally.RunnerTally;
 
-/** What this process learned about one incarnation of a runner; thread-safe. */
+/**
+ * What is known about one incarnation of a runner: what this process saw, and what the fleet saw;
+ * thread-safe.
+ */
 final class RunnerStats {
     private static final double NEW_SAMPLE_WEIGHT = 0.2;
     private static final int MAX_PARTS = 512;
@@ -16,6 +20,18 @@
     /** Age at which a reported load says nothing about now. */
     private static final long REPORT_MAX_AGE_MS = 400;
 
+    /** Faults of runners come and go within seconds. */
+    private static final double FAILURE_HALF_LIFE_MS = 3_000;
+
+    /** Age at which the fleet's word is too old to go by; it comes every second. */
+    private static final long FLEET_MAX_AGE_MS = 10_000;
+
+    /** Age at which the fleet's count of requests under way says nothing about now. */
+    private static final long FLEET_LOAD_MAX_AGE_MS = 2_500;
+
+    /** Requests without a failure that a runner nobody has tried is credited with. */
+    private static final double ASSUMED_SUCCESSES = 3;
+
     private final Map<String, Boolean> parts =
             new LinkedHashMap<>(16, 0.75f, true) {
                 private static final long serialVersionUID = 1L;
@@ -27,11 +43,21 @@
             };
     private int underWay;
     private int othersRunning;
+    private boolean loadReported;
     private long reportedAtNs;
     private double msPerUnit;
     private int strikes;
     private long avoidUntilNs;
 
+    private double unreportedMs;
+    private double unreportedUnits;
+    private int unreportedEnded;
+    private int unreportedFailed;
+
+    private RunnerTally fleet;
+    private int fleetOthersUnderWay;
+    private long fleetAtNs;
+
     synchronized void started() {
         underWay++;
     }
@@ -43,6 +69,7 @@
     synchronized void reported(RunnerLoad load, long nowNs) {
         othersRunning = Math.max(0, load.running() + load.waiting() - underWay);
         reportedAtNs = nowNs;
+        loadReported = true;
     }
 
     /** A request took {@code ms} for {@code units} of work. */
@@ -53,6 +80,9 @@
                 msPerUnit == 0
                         ? sample
                         : msPerUnit * (1 - NEW_SAMPLE_WEIGHT) + sample * NEW_SAMPLE_WEIGHT;
+        unreportedMs += ms;
+        unreportedUnits += Math.max(1, units);
+        unreportedEnded++;
         for (PromptPart part : prompt) {
             parts.put(part.id(), Boolean.TRUE);
         }
@@ -62,10 +92,13 @@
     synchronized void full(int slots, long nowNs) {
         othersRunning = Math.max(othersRunning, slots - underWay);
         reportedAtNs = nowNs;
+        loadReported = true;
     }
 
     /** The runner failed; repeated failures keep it out for a growing time. */
     synchronized void failed(long nowNs) {
+        unreportedEnded++;
+        unreportedFailed++;
         strikes++;
         if (strikes >= STRIKES_TO_AVOID) {
             long avoidMs =
@@ -82,6 +115,34 @@
         failed(nowNs);
     }
 
+    /** What was seen since this was last called, and what is under way now. */
+    synchronized RunnerTally takeSeen(String incarnation) {
+        RunnerTally seen =
+                new RunnerTally(
+                        incarnation,
+                        underWay,
+                        unreportedMs,
+                        unreportedUnits,
+                        unreportedEnded,
+                        unreportedFailed);
+        unreportedMs = 0;
+        unreportedUnits = 0;
+        unreportedEnded = 0;
+        unreportedFailed = 0;
+        return seen;
+    }
+
+    /**
+     * Takes what the fleet saw, this process included.
+     *
+     * @param ownUnderWay requests that this process counted in with its report
+     */
+    synchronized void learned(RunnerTally all, int ownUnderWay, long nowNs) {
+        fleet = all;
+        fleetOthersUnderWay = Math.max(0, all.underWay() - ownUnderWay);
+        fleetAtNs = nowNs;
+    }
+
     synchronized RunnerView view(Runner runner, List<PromptPart> prompt, long nowNs) {
         int cached = 0;
         for (PromptPart part : prompt) {
@@ -90,9 +151,39 @@
             }
             cached += part.tokens();
         }
-        boolean fresh = nowNs - reportedAtNs < REPORT_MAX_AGE_MS * NS_PER_MS;
-        int load = underWay + (fresh ? othersRunning : othersRunning / 2);
+        boolean avoided = nowNs - avoidUntilNs < 0 && avoidUntilNs != 0;
         return new RunnerView(
-                runner, load, msPerUnit, cached, nowNs - avoidUntilNs < 0 && avoidUntilNs != 0);
+                runner, load(nowNs), speedMs(nowNs), cached, failureShare(nowNs), avoided);
+    }
+
+    private int load(long nowNs) {
+        if (loadReported && nowNs - reportedAtNs < REPORT_MAX_AGE_MS * NS_PER_MS) {
+            return underWay + othersRunning;
+        }
+        if (fleetKnown(nowNs, FLEET_LOAD_MAX_AGE_MS)) {
+            return underWay + fleetOthersUnderWay;
+        }
+        return underWay + othersRunning / 2;
+    }
+
+    private double speedMs(long nowNs) {
+        boolean known = fleetKnown(nowNs, FLEET_MAX_AGE_MS) && fleet.workUnits() >= 1;
+        return known ? fleet.workMs() / fleet.workUnits() : msPerUnit;
+    }
+
+    private double failureShare(long nowNs) {
+        double failed = unreportedFailed;
+        double ended = unreportedEnded;
+        if (fleetKnown(nowNs, FLEET_MAX_AGE_MS)) {
+            double weight =
+                    Math.pow(0.5, (nowNs - fleetAtNs) / (double) NS_PER_MS / FAILURE_HALF_LIFE_MS);
+            failed += fleet.failed() * weight;
+            ended += fleet.ended() * weight;
+        }
+        return failed / (ended + ASSUMED_SUCCESSES);
+    }
+
+    private boolean fleetKnown(long nowNs, long maxAgeMs) {
+        return fleet != null && nowNs - fleetAtNs < maxAgeMs * NS_PER_MS;
     }
 }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerView.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerView.java
@@ -6,7 +6,13 @@
  * @param load requests it is believed to hold, ours and others'
  * @param msPerUnit learned time for a unit of work, or 0 if nothing is known
  * @param cachedTokens prompt tokens it is believed to have cached
+ * @param failureShare part of its requests that it is believed to fail, between 0 and 1
  * @param avoided whether it failed lately and is only used if nothing else is there
  */
 public record RunnerView(
-        Runner runner, int load, double msPerUnit, int cachedTokens, boolean avoided) {}
+        Runner runner,
+        int load,
+        double msPerUnit,
+        int cachedTokens,
+        double failureShare,
+        boolean avoided) {}
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/keeper/KeeperCluster.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/keeper/KeeperCluster.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.stream.Stream;
+import org.skylarkmast.core.store.StoreEntry;
 import org.skylarkmast.http.HttpClient;
 import org.skylarkmast.http.HttpHandler;
 import org.skylarkmast.http.HttpServer;
@@ -20,6 +21,9 @@
 import org.skylarkmast.relay.ledger.KeeperView;
 import org.skylarkmast.relay.ledger.LedgerClient;
 import org.skylarkmast.relay.ledger.ViewHolder;
+import org.skylarkmast.relay.mirror.MirrorExchange;
+import org.skylarkmast.relay.mirror.StoreMirror;
+import org.skylarkmast.relay.tally.TallyBook;
 
 /** Keepers in this process, each with its own folder and port; rounds are run by the test. */
 final class KeeperCluster implements AutoCloseable {
@@ -71,6 +75,18 @@
         }
     }
 
+    private static final StoreMirror.Listener IGNORED =
+            new StoreMirror.Listener() {
+                @Override
+                public void written(StoreEntry entry) {}
+
+                @Override
+                public void removed(String key) {}
+
+                @Override
+                public void complete() {}
+            };
+
     private static final class Keeper {
         final String node;
         KeeperView.Member self;
@@ -111,7 +127,16 @@
         keeper.server = server[0];
         keeper.self = new KeeperView.Member(keeper.node, "127.0.0.1:" + server[0].port());
         keeper.membership = new KeeperMembership(keeper.self, folder, keeper.views);
-        handler[0] = new KeeperHandler(keeper.index, keeper.membership, keeper.views);
+        handler[0] =
+                new KeeperHandler(
+                        keeper.index,
+                        keeper.membership,
+                        keeper.views,
+                        new TallyBook(System::nanoTime),
+                        new MirrorExchange(
+                                new StoreMirror(IGNORED, System::nanoTime),
+                                new KeeperClient(new HttpClient(4, 300), keeper.views::offer),
+                                () -> true));
         keeper.coordinator =
                 new KeeperCoordinator(
                         keeper.index,
