[relay] Ask another runner where one stays silent; refuse soon where no runner is registered

Cause, from reading: grown sites have runners that hang part of their requests. An idempotent call waited for them until its caller's time was over, and a request that ended so did not count against the runner. A request for a service without runners was held until its deadline though known to be unservable.

Ruled out: cutting calls that may not be repeated (a runner's silence is no proof that it did not run).

Change: a runner may be silent for six times its usual answer, at least 300 ms, where the route allows another runner; a request whose time passed after a second of silence counts as failed there. Without any runner a request is refused after a quarter of its objective, to come back after 1 s.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -73,7 +73,7 @@
             DoubleSupplier random) {
         this.routing = routing;
         this.pool = pool;
-        this.sender = new RunnerSend(connections, pool, dialect);
+        this.sender = new RunnerSend(connections, pool, dialect, timers);
         this.dialect = dialect;
         this.ledger = ledger;
         this.requestLog = requestLog;
@@ -275,7 +275,8 @@
                             stream ? expectedTokens() : 1,
                             call.prompt(),
                             stream,
-                            this::keep);
+                            this::keep,
+                            RunnerSend.Outgoing.ANY_SILENCE);
             SendLoop loop = new SendLoop(pool, sender, route, service, outgoing, exchange, sink);
             SendLoop.End end = loop.run();
             entry.runner = loop.lastRunner();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSend.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSend.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import org.skylarkmast.relay.http.HeaderFields;
 import org.skylarkmast.relay.http.RunnerAnswer;
 import org.skylarkmast.relay.http.RunnerConnection;
@@ -22,6 +25,9 @@
      */
     private static final int CONNECT_TIMEOUT_MS = 400;
 
+    /** Time without a word after which a runner is to blame for a request whose time ended. */
+    private static final long SILENT_MS = 1000;
+
     private static final int BUFFER_BYTES = 8192;
 
     /** Answers kept back until they are whole, so that a broken one can be sent for again. */
@@ -35,8 +41,14 @@
     private final RunnerConnections connections;
     private final RunnerPool pool;
     private final WireDialect dialect;
+    private final ScheduledExecutorService timers;
 
-    RunnerSend(RunnerConnections connections, RunnerPool pool, WireDialect dialect) {
+    RunnerSend(
+            RunnerConnections connections,
+            RunnerPool pool,
+            WireDialect dialect,
+            ScheduledExecutorService timers) {
+        this.timers = timers;
         this.connections = connections;
         this.pool = pool;
         this.dialect = dialect;
@@ -48,6 +60,7 @@
      * @param fields end-to-end fields of the caller
      * @param stream whether the answer is a stream of events
      * @param finisher called with the whole stream before its end is passed on
+     * @param silenceMs how long a runner may take to begin its answer, or {@link #ANY_SILENCE}
      */
     @SuppressWarnings("ArrayRecordComponent") // bodies are opaque and never compared
     record Outgoing(
@@ -60,7 +73,19 @@
             double units,
             List<PromptPart> prompt,
             boolean stream,
-            Finisher finisher) {}
+            Finisher finisher,
+            long silenceMs) {
+
+        /** The runner may take all the time there is. */
+        static final long ANY_SILENCE = 0;
+
+        /** The same request for a runner that must begin its answer within {@code ms}. */
+        Outgoing withSilenceMs(long ms) {
+            return new Outgoing(
+                    requestId, method, target, fields, body, priority, units, prompt, stream,
+                    finisher, ms);
+        }
+    }
 
     /** Does what must be done before an answer may end. */
     @FunctionalInterface
@@ -92,10 +117,10 @@
         pool.started(runner);
         boolean reusable = false;
         RunnerAnswer answer = null;
+        long sentNs = System.nanoTime();
         try {
-            long sentNs = System.nanoTime();
             write(request, runner, connection, exchange, sink);
-            answer = answerTo(request, connection);
+            answer = answerInTime(request, connection);
             dialect.load(answer.fields()).ifPresent(load -> pool.reported(runner, load));
             if (dialect.notRun(answer.status(), answer.fields())) {
                 connection.body(answer).readAllBytes();
@@ -121,7 +146,8 @@
         } catch (CallerWriteException e) {
             return new SendResult.CallerLost(String.valueOf(e.getMessage()));
         } catch (IOException | IllegalStateException e) {
-            return broken(runner, exchange, sink, lent.reused(), e);
+            String reason = e.getMessage() + (lent.reused() ? " (reused connection)" : "");
+            return broken(runner, exchange, sink, sentNs, reason);
         } finally {
             pool.ended(runner);
             exchange.releases();
@@ -133,6 +159,21 @@
         }
     }
 
+    /** Reads the answer's head; a runner that stays silent for too long is cut off. */
+    private RunnerAnswer answerInTime(Outgoing request, RunnerConnection connection)
+            throws IOException {
+        if (request.silenceMs() == Outgoing.ANY_SILENCE) {
+            return answerTo(request, connection);
+        }
+        ScheduledFuture<?> cut =
+                timers.schedule(connection::abort, request.silenceMs(), TimeUnit.MILLISECONDS);
+        try {
+            return answerTo(request, connection);
+        } finally {
+            cut.cancel(false);
+        }
+    }
+
     /** Work that was done: the tokens of a stream, which are often far fewer than expected. */
     private static double doneUnits(Outgoing request, AnswerSink sink) {
         return request.stream() ? Math.max(1, sink.tokens()) : request.units();
@@ -159,19 +200,22 @@
     }
 
     private SendResult broken(
-            Runner runner, Exchange exchange, AnswerSink sink, boolean reused, Exception e) {
+            Runner runner, Exchange exchange, AnswerSink sink, long sentNs, String reason) {
+        long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNs);
+        boolean ownEnd = exchange.isCallerGone() || exchange.isExpired();
+        // A runner that lets a request's time pass without a word fails it as well.
+        if (!ownEnd || (!sink.begun() && tookMs >= SILENT_MS)) {
+            pool.failed(runner);
+        }
         if (exchange.isCallerGone()) {
             return new SendResult.CallerLost("caller closed");
         }
-        if (!exchange.isExpired()) {
-            pool.failed(runner);
-        }
-        String reason = e.getMessage() + (reused ? " (reused connection)" : "");
         LOG.atInfo()
                 .addKeyValue("event", "runner_exchange_broken")
                 .addKeyValue("runner", runner.id())
                 .addKeyValue("reason", reason)
                 .addKeyValue("begun", sink.begun())
+                .addKeyValue("tookMs", tookMs)
                 .log();
         return sink.begun() ? new SendResult.BrokenOff(reason) : new SendResult.MayHaveRun(reason);
     }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendLoop.java
@@ -4,7 +4,9 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.skylarkmast.relay.route.Route;
+import org.skylarkmast.relay.route.RouteKind;
 import org.skylarkmast.relay.runner.Runner;
 import org.skylarkmast.relay.runner.RunnerPool;
 
@@ -27,6 +29,18 @@
     /** What a failure costs that another send can make good: about one more answer. */
     private static final double REPEAT_COST_MS = 200;
 
+    /** How often the usual time of an answer a runner may be silent: most take less than thrice. */
+    private static final double SILENCE_FACTOR = 6;
+
+    /** Silence that is no sign of a fault: a queue at the runner, a lost packet on the way. */
+    private static final long LEAST_SILENCE_MS = 300;
+
+    /** Part of its objective that a request waits for a service without runners. */
+    private static final int NO_RUNNER_DIVISOR = 4;
+
+    /** When a service without runners is asked again: runners register about every second. */
+    private static final long NO_RUNNER_RETRY_MS = 1000;
+
     /** Sends of a repeatable request that may have run before it is given up. */
     private static final int MAX_REPEATS = 3;
 
@@ -45,6 +59,7 @@
     private final Map<String, Runner> used = new LinkedHashMap<>();
 
     private final Set<String> excluded = new HashSet<>();
+    private final long startedNs = System.nanoTime();
     private String lastRunner = "";
     private long fullPauseMs = FIRST_FULL_PAUSE_MS;
     private int sends;
@@ -94,12 +109,16 @@
             }
             Runner runner = choose();
             if (runner == null) {
+                if (hopeless()) {
+                    Refusal refusal = Refusal.notRun(NO_RUNNER_RETRY_MS, "no runner is registered");
+                    return new End(last, refusal);
+                }
                 pauseForRunner();
                 continue;
             }
             sends++;
             lastRunner = runner.id();
-            last = sender.send(request, runner, exchange, sink);
+            last = sender.send(outgoing(runner), runner, exchange, sink);
             End end = judge(last, runner);
             if (end != null) {
                 return end;
@@ -125,6 +144,7 @@
             }
             case SendResult.MayHaveRun mayHaveRun -> {
                 used.put(runner.incarnation(), runner);
+                excluded.add(runner.incarnation());
                 if (mayRepeat()) {
                     yield null;
                 }
@@ -142,6 +162,16 @@
         };
     }
 
+    /** An idempotent request does not wait for a silent runner while another may be asked. */
+    private RunnerSend.Outgoing outgoing(Runner runner) {
+        boolean elsewhere = used.size() + 1 < route.maxAttempts() && repeats < MAX_REPEATS;
+        if (route.kind() != RouteKind.IDEMPOTENT || !elsewhere) {
+            return request;
+        }
+        double usualMs = pool.usualMs(runner) * request.units();
+        return request.withSilenceMs(Math.max(LEAST_SILENCE_MS, (long) (usualMs * SILENCE_FACTOR)));
+    }
+
     private boolean mayRepeat() {
         repeats++;
         return route.repeatable() && repeats <= MAX_REPEATS && !exchange.isOver();
@@ -161,6 +191,14 @@
         return pool.choose(service, request.units(), request.prompt(), failureCostMs, excluded);
     }
 
+    /** Whether no runner can take the request, and has not for a while. */
+    private boolean hopeless() {
+        long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs);
+        return !pool.hasRunners(service)
+                && !mayHaveRun()
+                && waitedMs >= route.objectiveMs() / NO_RUNNER_DIVISOR;
+    }
+
     private void pauseForRunner() throws InterruptedException {
         boolean any = pool.hasRunners(service);
         exchange.pause(any ? fullPauseMs : NO_RUNNER_PAUSE_MS);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
@@ -96,6 +96,11 @@
         return directory.knows(runner.incarnation());
     }
 
+    /** Time that a unit of work usually takes at {@code runner}, in ms; 0 if nothing is known. */
+    public double usualMs(Runner runner) {
+        return stats(runner).usualMs(clockNs.getAsLong());
+    }
+
     /** Counts a request as under way at {@code runner}. */
     public void started(Runner runner) {
         stats(runner).started();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerStats.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerStats.java
@@ -156,6 +156,11 @@
                 runner, load(nowNs), speedMs(nowNs), cached, failureShare(nowNs), avoided);
     }
 
+    /** Time for a unit of work in ms, 0 if nothing is known. */
+    synchronized double usualMs(long nowNs) {
+        return speedMs(nowNs);
+    }
+
     private int load(long nowNs) {
         if (loadReported && nowNs - reportedAtNs < REPORT_MAX_AGE_MS * NS_PER_MS) {
             return underWay + othersRunning;
