[relay] Serve callers that come in a node's first moments; test how changes reach entry nodes

Entry nodes listened at 35.35 s, knew their configuration at 35.41 to 35.50 s and a quorum of keepers at the next round of questions up to 0.3 s later: 86 requests were refused meanwhile, and 479 connections were refused before. A turn has some six tries within about a second.

Ruled out: the keepers (they voted from 35.13 s on).

Change: the listener is bound first, so that connections wait in the kernel; a request waits up to 0.8 s, or a third of its time, for the first configuration and the first quorum; a new view has its keepers asked at once. MirrorClientTest stands in the stand-ins' module, whose store it uses; its last two cases time out where a keeper that is cut off counts itself as in touch.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -41,6 +41,9 @@
     /** Part of a turn's time that may pass while too few keepers answer. */
     private static final int PATIENCE_DIVISOR = 3;
 
+    /** Longest wait for the first configuration and the first keepers, which take some 100 ms. */
+    private static final long START_WAIT_MS = 800;
+
     private static final long HELD_RETRY_MS = 250;
     private static final long KEEPERS_RETRY_MS = 300;
 
@@ -92,18 +95,18 @@
             CallerConnection caller, InboundRequest request, byte[] body, BooleanSupplier closing)
             throws InterruptedException {
         RequestLog.Entry entry = new RequestLog.Entry(System.nanoTime());
-        RoutingConfiguration configuration = routing.current();
-        if (configuration == null) {
-            Refusal refusal = Refusal.notRun(ELSEWHERE_RETRY_MS, "no configuration known yet");
-            return refuse(caller, "", refusal, closing, entry);
-        }
-        entry.version = configuration.version();
         CallMetadata call;
         try {
             call = dialect.read(request.fields());
         } catch (MalformedMessageException e) {
             return refuse(caller, "", Refusal.of(400, e.getMessage()), closing, entry);
         }
+        RoutingConfiguration configuration = routing.await(startWaitMs(call));
+        if (configuration == null) {
+            Refusal refusal = Refusal.notRun(ELSEWHERE_RETRY_MS, "no configuration known yet");
+            return refuse(caller, call.requestId(), refusal, closing, entry);
+        }
+        entry.version = configuration.version();
         entry.requestId = call.requestId();
         entry.program = call.program();
         Route route = configuration.match(request.fields().first("Host"), request.path());
@@ -134,6 +137,13 @@
         }
     }
 
+    /** How long a request may wait for what a node learns in its first moments. */
+    private static long startWaitMs(CallMetadata call) {
+        boolean unset = call.deadlineMs() == CallMetadata.UNSET;
+        long share = unset ? START_WAIT_MS : call.deadlineMs() / PATIENCE_DIVISOR;
+        return Math.min(START_WAIT_MS, share);
+    }
+
     private boolean refuse(
             CallerConnection caller,
             String requestId,
@@ -195,7 +205,7 @@
         boolean serve(RequestLog.Entry entry) throws InterruptedException {
             entry.service = service;
             boolean reserves = call.budgeted() && route.kind() == RouteKind.STREAM;
-            if ((reserves || route.keepsTurns()) && !ledger.reachable()) {
+            if ((reserves || route.keepsTurns()) && !ledger.awaitFirst(startWaitMs(call))) {
                 Refusal refusal = Refusal.notRun(ELSEWHERE_RETRY_MS, "no quorum of keepers");
                 return refuse(caller, call.requestId(), refusal, closing, entry);
             }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/KeeperReach.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/KeeperReach.java
@@ -89,6 +89,11 @@
         return believedUntilNs != NEVER && nowNs - believedUntilNs < 0;
     }
 
+    /** Whether a quorum was ever found to answer. */
+    boolean everReached() {
+        return believedUntilNs != NEVER;
+    }
+
     private boolean answers(KeeperView.Member member) {
         Contact contact = contact(member);
         return contact.answeredNs() != NEVER
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
@@ -19,6 +19,8 @@
     /** Wait for the slower keepers after a quorum answered, which saves a second round. */
     private static final long STRAGGLER_MS = 12;
 
+    private static final long FIRST_POLL_MS = 20;
+
     private static final long RETRY_PAUSE_MS = 40;
 
     private static final int SETTLE_ROUNDS = 4;
@@ -68,6 +70,15 @@
         return reach.quorum(views.current());
     }
 
+    @Override
+    public boolean awaitFirst(long waitMs) throws InterruptedException {
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+        while (!reachable() && !reach.everReached() && System.nanoTime() - endNs < 0) {
+            Thread.sleep(FIRST_POLL_MS);
+        }
+        return reachable();
+    }
+
     /** Asks keepers that were not heard from for a time; called several times a second. */
     public void probe() {
         KeeperView view = views.current();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/TurnLedger.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/TurnLedger.java
@@ -11,6 +11,12 @@
     /** Whether a quorum of keepers answered lately; without one no turn can be served. */
     boolean reachable();
 
+    /**
+     * Like {@link #reachable}, but waits if no quorum ever answered: that is so in a process's
+     * first moments.
+     */
+    boolean awaitFirst(long waitMs) throws InterruptedException;
+
     /**
      * Reserves tokens for a turn; anything but {@link ReserveOutcome#GRANTED} leaves nothing
      * reserved.
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -52,28 +52,33 @@
     }
 
     /**
-     * Starts to accept.
+     * Binds {@code address}; connections wait until a server accepts them.
      *
      * @param address {@code host:port}
      * @throws IOException if the address cannot be bound
      */
-    public CallerServer(
-            String address,
-            Forwarder forwarder,
-            RoutingState routing,
-            ScheduledExecutorService timers)
-            throws IOException {
-        this.forwarder = forwarder;
-        this.routing = routing;
-        this.timers = timers;
+    public static ServerSocket bind(String address) throws IOException {
         int colon = address.lastIndexOf(':');
-        listener = new ServerSocket();
+        ServerSocket listener = new ServerSocket();
         listener.setReuseAddress(true);
         listener.bind(
                 new InetSocketAddress(
                         InetAddress.getByName(address.substring(0, colon)),
                         Integer.parseInt(address.substring(colon + 1))),
                 BACKLOG);
+        return listener;
+    }
+
+    /** Starts to accept from {@code listener}, which it then owns. */
+    public CallerServer(
+            ServerSocket listener,
+            Forwarder forwarder,
+            RoutingState routing,
+            ScheduledExecutorService timers) {
+        this.listener = listener;
+        this.forwarder = forwarder;
+        this.routing = routing;
+        this.timers = timers;
         Thread.ofPlatform().name("accept").daemon().start(this::accept);
     }
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -3,11 +3,13 @@
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.skylarkmast.core.store.KeyValueStore;
 import org.skylarkmast.http.HttpClient;
 import org.skylarkmast.http.HttpReply;
@@ -51,7 +53,7 @@
     private final RelaySettings settings;
     private final RoutingState routing = new RoutingState();
     private final RunnerDirectory directory = new RunnerDirectory();
-    private final ViewHolder views = new ViewHolder(view -> {});
+    private final ViewHolder views;
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final CallerServer callers;
     private final LedgerClient ledger;
@@ -64,6 +66,8 @@
      */
     public EntryNode(RelaySettings settings, WireDialect dialect) throws IOException {
         this.settings = settings;
+        // Bound first: callers that come while the rest starts wait some 100 ms and are served.
+        ServerSocket listener = CallerServer.bind(settings.callersAddress());
         ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
         ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
         RunnerConnections connections = new RunnerConnections();
@@ -74,11 +78,15 @@
                                 settings.failureDomain(),
                                 () -> ThreadLocalRandom.current().nextDouble()),
                         System::nanoTime);
+        AtomicReference<LedgerClient> probed = new AtomicReference<>();
+        // A new view may hold keepers that were never asked.
+        views = new ViewHolder(view -> executor.execute(() -> probed.get().probe()));
         KeeperClient keepers =
                 new KeeperClient(
                         new HttpClient(KEEPER_IDLE_CONNECTIONS, KEEPER_CONNECT_TIMEOUT_MS),
                         views::offer);
         ledger = new LedgerClient(views, keepers, networkOf(settings.ip()), executor);
+        probed.set(ledger);
         Forwarder forwarder =
                 new Forwarder(
                         routing,
@@ -90,21 +98,8 @@
                         executor,
                         timers,
                         () -> ThreadLocalRandom.current().nextDouble());
-        TallyReporter reporter =
-                new TallyReporter(settings.node() + "/" + System.nanoTime(), pool, ledger);
-        callers = new CallerServer(settings.callersAddress(), forwarder, routing, timers);
-        var _ =
-                timers.scheduleWithFixedDelay(
-                        () -> keepHouse(connections, pool),
-                        SWEEP_MS,
-                        SWEEP_MS,
-                        TimeUnit.MILLISECONDS);
-        var _ =
-                timers.scheduleWithFixedDelay(
-                        () -> executor.execute(reporter::report),
-                        REPORT_MS,
-                        REPORT_MS,
-                        TimeUnit.MILLISECONDS);
+        callers = new CallerServer(listener, forwarder, routing, timers);
+        startRounds(connections, pool, executor, timers);
         gauge(
                 "skylarkmast_caller_connections",
                 "Open connections of callers.",
@@ -121,15 +116,40 @@
                 .log();
     }
 
-    /** A failure is logged here, as the timer would end the rounds without a word. */
-    private void keepHouse(RunnerConnections connections, RunnerPool pool) {
-        try {
-            ledger.probe();
-            connections.sweep(directory::knows);
-            pool.sweep();
-        } catch (RuntimeException e) {
-            LOG.atError().addKeyValue("event", "housekeeping_failed").setCause(e).log();
-        }
+    private void startRounds(
+            RunnerConnections connections,
+            RunnerPool pool,
+            ExecutorService executor,
+            ScheduledExecutorService timers) {
+        Runnable keepHouse =
+                logged(
+                        "housekeeping_failed",
+                        () -> {
+                            ledger.probe();
+                            connections.sweep(directory::knows);
+                            pool.sweep();
+                        });
+        TallyReporter reporter =
+                new TallyReporter(settings.node() + "/" + System.nanoTime(), pool, ledger);
+        Runnable report = logged("report_failed", reporter::report);
+        var _ = timers.scheduleWithFixedDelay(keepHouse, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        var _ =
+                timers.scheduleWithFixedDelay(
+                        () -> executor.execute(report),
+                        REPORT_MS,
+                        REPORT_MS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    /** A failure is logged here, as executors would drop it without a word. */
+    private static Runnable logged(String failureEvent, Runnable round) {
+        return () -> {
+            try {
+                round.run();
+            } catch (RuntimeException e) {
+                LOG.atError().addKeyValue("event", failureEvent).setCause(e).log();
+            }
+        };
     }
 
     private void startReadiness(String address) throws IOException {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/RoutingState.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/RoutingState.java
@@ -1,5 +1,7 @@
 package org.skylarkmast.relay.route;
 
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -7,6 +9,7 @@
 public final class RoutingState {
     private static final Logger LOG = LoggerFactory.getLogger(RoutingState.class);
 
+    private final CountDownLatch first = new CountDownLatch(1);
     private volatile RoutingConfiguration current;
 
     /** The configuration in force, or null before the first. */
@@ -14,6 +17,18 @@
         return current;
     }
 
+    /**
+     * The configuration in force, waited for if none is known yet.
+     *
+     * @return null if none came within {@code waitMs}
+     */
+    public RoutingConfiguration await(long waitMs) throws InterruptedException {
+        if (current == null) {
+            first.await(waitMs, TimeUnit.MILLISECONDS);
+        }
+        return current;
+    }
+
     /** Puts {@code offered} in force unless a version as new is in force already. */
     public synchronized void offer(RoutingConfiguration offered) {
         RoutingConfiguration before = current;
@@ -28,6 +43,7 @@
             return;
         }
         current = offered;
+        first.countDown();
         LOG.atInfo()
                 .addKeyValue("event", "configuration_in_force")
                 .addKeyValue("version", offered.version())
--- /dev/null
+++ b/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
@@ -0,0 +1,216 @@
+package org.skylarkmast.standins.relay;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.skylarkmast.core.store.StoreEntry;
+import org.skylarkmast.core.store.Txn;
+import org.skylarkmast.core.store.Write;
+import org.skylarkmast.http.HttpClient;
+import org.skylarkmast.http.HttpServer;
+import org.skylarkmast.relay.keeper.KeeperHandler;
+import org.skylarkmast.relay.keeper.KeeperIndex;
+import org.skylarkmast.relay.keeper.KeeperMembership;
+import org.skylarkmast.relay.ledger.KeeperClient;
+import org.skylarkmast.relay.ledger.KeeperView;
+import org.skylarkmast.relay.ledger.LedgerClient;
+import org.skylarkmast.relay.ledger.ViewHolder;
+import org.skylarkmast.relay.mirror.KeyRange;
+import org.skylarkmast.relay.mirror.MirrorClient;
+import org.skylarkmast.relay.mirror.MirrorExchange;
+import org.skylarkmast.relay.mirror.StoreFollower;
+import org.skylarkmast.relay.mirror.StoreMirror;
+import org.skylarkmast.relay.tally.TallyBook;
+import org.skylarkmast.standins.store.InMemoryStore;
+import org.skylarkmast.standins.store.StoreState;
+
+/** How changes in the key-value service reach an entry node. */
+class MirrorClientTest {
+    private static final KeyRange ALL = new KeyRange("", "\uffff");
+    private static final long PATIENCE_S = 20;
+
+    private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+    private final StoreState state = new StoreState(System::nanoTime);
+    private final InMemoryStore operator = new InMemoryStore(state, executor);
+    private final List<Keeper> keepers = new ArrayList<>();
+
+    @TempDir private Path folder;
+
+    private MirrorClient client;
+
+    /** What a process knows of the service. */
+    private static final class Known implements StoreMirror.Listener {
+        final Map<String, String> values = new ConcurrentHashMap<>();
+
+        @Override
+        public void written(StoreEntry entry) {
+            values.put(entry.key(), new String(entry.value(), StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void removed(String key) {
+            values.remove(key);
+        }
+
+        @Override
+        public void complete() {}
+    }
+
+    private final class Keeper {
+        final InMemoryStore store = new InMemoryStore(state, executor);
+        final ViewHolder views = new ViewHolder(view -> {});
+        final StoreMirror mirror = new StoreMirror(new Known(), System::nanoTime);
+        final StoreFollower follower = new StoreFollower(store, ALL.from(), ALL.to(), mirror);
+        final MirrorExchange exchange =
+                new MirrorExchange(
+                        mirror,
+                        new KeeperClient(new HttpClient(4, 300), views::offer),
+                        () -> follower.connected() && !this.cutOff);
+        final KeeperIndex index;
+        final HttpServer server;
+
+        /** Whether it has noticed that the service does not answer it. */
+        volatile boolean cutOff;
+
+        final KeeperView.Member self;
+
+        Keeper(String node) throws IOException {
+            index = new KeeperIndex(folder.resolve(node), System::currentTimeMillis);
+            KeeperHandler[] handler = new KeeperHandler[1];
+            server = HttpServer.start("127.0.0.1", 0, 1 << 20, call -> handler[0].handle(call));
+            self = new KeeperView.Member(node, "127.0.0.1:" + server.port());
+            KeeperMembership membership =
+                    new KeeperMembership(self, folder.resolve(node + "-marker"), views);
+            handler[0] =
+                    new KeeperHandler(
+                            index, membership, views, new TallyBook(System::nanoTime), exchange);
+        }
+
+        void cutOff() {
+            store.setDown(true);
+            cutOff = true;
+        }
+
+        void close() {
+            follower.close();
+            server.close();
+            index.close();
+        }
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        put("config", "1");
+        keepers.add(new Keeper("a"));
+        keepers.add(new Keeper("b"));
+    }
+
+    @AfterEach
+    void stop() {
+        if (client != null) {
+            client.close();
+        }
+        keepers.forEach(Keeper::close);
+        executor.shutdownNow();
+    }
+
+    private void put(String key, String value) {
+        byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+        var _ = operator.commit(new Txn(List.of(), List.of(new Write.Put(key, bytes, 0))));
+    }
+
+    private KeeperView view() {
+        return new KeeperView(1, keepers.stream().map(keeper -> keeper.self).toList());
+    }
+
+    private Known entryNode(InMemoryStore store) {
+        ViewHolder views = new ViewHolder(view -> {});
+        views.offer(view());
+        LedgerClient ledger =
+                new LedgerClient(
+                        views,
+                        new KeeperClient(new HttpClient(4, 300), views::offer),
+                        "127.",
+                        executor);
+        Known known = new Known();
+        StoreMirror mirror = new StoreMirror(known, System::nanoTime);
+        client = new MirrorClient(store, ALL, mirror, ledger);
+        return known;
+    }
+
+    private static void await(Known known, String key, String value) {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (!value.equals(known.values.get(key)) && System.nanoTime() < endNs) {
+            Thread.onSpinWait();
+        }
+        assertThat(known.values).containsEntry(key, value);
+    }
+
+    /** However much changes, an entry node calls the service once. */
+    @Test
+    void changesComeThroughKeepers() {
+        InMemoryStore store = new InMemoryStore(state, executor);
+        Known known = entryNode(store);
+        await(known, "config", "1");
+        for (int version = 2; version < 30; version++) {
+            put("config", Integer.toString(version));
+            await(known, "config", Integer.toString(version));
+        }
+        assertThat(store.reads()).isEqualTo(1);
+    }
+
+    /** The keeper that is asked is cut off from the service, or both are. */
+    @ParameterizedTest(name = "{0} keepers cut off")
+    @ValueSource(ints = {1, 2})
+    void changesComeThoughKeepersAreCutOffFromTheService(int cutOff) {
+        Known known = entryNode(new InMemoryStore(state, executor));
+        await(known, "config", "1");
+        for (Keeper keeper : keepers.subList(0, cutOff)) {
+            keeper.cutOff();
+        }
+        put("config", "2");
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (!"2".equals(known.values.get("config")) && System.nanoTime() < endNs) {
+            keepers.forEach(keeper -> keeper.exchange.round(view(), keeper.self));
+        }
+        assertThat(known.values).containsEntry("config", "2");
+    }
+
+    @Test
+    void changesComeWithoutAnyKeeper() {
+        Known known = entryNode(new InMemoryStore(state, executor));
+        await(known, "config", "1");
+        keepers.forEach(Keeper::close);
+        put("config", "2");
+        await(known, "config", "2");
+    }
+
+    /** A service that is away must not be asked more often by every node. */
+    @Test
+    void whatIsKnownStaysWhileNobodyIsInTouch() {
+        InMemoryStore store = new InMemoryStore(state, executor);
+        Known known = entryNode(store);
+        await(known, "config", "1");
+        store.setDown(true);
+        keepers.forEach(Keeper::cutOff);
+        put("late", "1");
+        store.setDown(false);
+        await(known, "late", "1");
+        assertThat(known.values).containsEntry("config", "1");
+    }
+}
