--- a/skylarkmast-bench/src/main/java/org/skylarkmast/bench/decision/Simulation.java
+++ b/skylarkmast-bench/src/main/java/org/skylarkmast/bench/decision/Simulation.java
@@ -48,27 +48,6 @@
     private final List<ProgramPlan> plans;
     private long nextCallId;
 
-    /** One call under way, with what its caller and the metrics need. */
-    private static final class CallRun {
-        private final ProgramRun program;
-        private final boolean model;
-        private final long serviceNs;
-        private final long submittedNs;
-        private final int owner;
-        private int attempt;
-        private long arrivedNs;
-        private long firstOutputNs;
-
-        private CallRun(
-                ProgramRun program, boolean model, long serviceNs, long submittedNs, int owner) {
-            this.program = program;
-            this.model = model;
-            this.serviceNs = serviceNs;
-            this.submittedNs = submittedNs;
-            this.owner = owner;
-        }
-    }
-
     Simulation(
             LoadProfile profile,
             Fault.Kind faultKind,
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/journal/JournalWriter.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/journal/JournalWriter.java
@@ -1,6 +1,5 @@
 package org.skylarkmast.daemon.journal;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -183,7 +182,7 @@
 
     @Override
     public Journal heldSince(int partition, long epoch) {
-        return new HeldJournal(epoch);
+        return new HeldJournal(this, epoch);
     }
 
     @Override
@@ -191,41 +190,8 @@
         return copies.degraded();
     }
 
-    /** Takes records only for logs opened at one epoch. */
-    private final class HeldJournal implements Journal {
-        private final long epoch;
-
-        private HeldJournal(long epoch) {
-            this.epoch = epoch;
-        }
-
-        @Override
-        public void append(int partition, byte[] record, Consumer<AppendOutcome> progress) {
-            JournalWriter.this.append(partition, this::sameHold, record, progress);
-        }
-
-        @Override
-        public void snapshot(
-                int partition, long throughSequence, List<byte[]> chunks, Consumer<Boolean> done) {
-            JournalWriter.this.snapshot(partition, this::sameHold, throughSequence, chunks, done);
-        }
-
-        @Override
-        public Journal heldSince(int partition, long heldEpoch) {
-            return JournalWriter.this.heldSince(partition, heldEpoch);
-        }
-
-        @Override
-        public boolean degraded() {
-            return JournalWriter.this.degraded();
-        }
-
-        private boolean sameHold(PartitionLog log) {
-            return log.openedEpoch() == epoch;
-        }
-    }
-
-    private void append(
+    /** Appends to the log of {@code partition} if it is held and {@code wanted}. */
+    void append(
             int partition,
             Predicate<PartitionLog> wanted,
             byte[] record,
@@ -245,7 +211,8 @@
                 });
     }
 
-    private void snapshot(
+    /** Writes a snapshot of the log of {@code partition} if it is held and {@code wanted}. */
+    void snapshot(
             int partition,
             Predicate<PartitionLog> wanted,
             long throughSequence,
@@ -287,7 +254,7 @@
     }
 
     private void flush() {
-        List<FlushPart> parts = chooseParts();
+        List<FlushPart> parts = FlushPart.choose(dirty.values(), writeIds);
         if (parts.isEmpty()) {
             return;
         }
@@ -308,27 +275,6 @@
                 });
     }
 
-    private List<FlushPart> chooseParts() {
-        List<FlushPart> parts = new ArrayList<>();
-        long bytes = 0;
-        for (PartitionLog log : dirty.values()) {
-            if (log.suspended()) {
-                continue;
-            }
-            JournalBatch batch = log.batch(writeIds, JournalSettings.BYTES_AT_ONCE);
-            long batchBytes = batch.records().stream().mapToLong(record -> record.length).sum();
-            if (!parts.isEmpty() && bytes + batchBytes > JournalSettings.BYTES_AT_ONCE) {
-                continue;
-            }
-            bytes += batchBytes;
-            parts.add(new FlushPart(log, batch, log.claimRevision()));
-            if (parts.size() == JournalSettings.PARTITIONS_AT_ONCE) {
-                break;
-            }
-        }
-        return parts;
-    }
-
     private void flushed(List<FlushPart> parts, StoreOutcome<TxnResult> outcome, long startedNs) {
         underWay = List.of();
         long now = nowNs.getAsLong();
