[runner] Trust told loads by their age; choose among runners heard from just now and two drawn by lot

All 67 nodes knew the same loads, one to two seconds old, and each sent to the best of six; a prompt's cached part hardly counted.

Ruled out: capacity (about 70 of 100 by the sheet's step and prefill times); the store (644 calls); keepers (0.24 cores at most).

Change: a load told by the fleet fades towards the mean with its age; beside runners that told this node their load within 0.4 s and the one with most of the prompt, a choice looks at two drawn by lot; reading a prompt costs its time for each request of the batch, as it holds all of them up.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerChooser.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerChooser.java
@@ -1,8 +1,8 @@
 package org.skylarkmast.relay.runner;
 
-import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.DoubleSupplier;
 
 /**
@@ -11,8 +11,9 @@
  * <p>Answers light and moderate load, where speed and cached prompts decide; bursts, where a runner
  * without a free slot counts as many times slower as it has requests waiting; runners that fail
  * part of their requests, which count as slower by what a failure costs; and many entry nodes over
- * the same runners, of which each looks at a few drawn by lot, as all of them know the same old
- * loads and would choose the same best runner. Pure.
+ * the same runners: beside those that told this node their load just now a choice only looks at two
+ * drawn by lot, as all nodes know the same old loads of the rest and would choose the same one.
+ * Pure.
  */
 public final class RunnerChooser {
 
@@ -29,10 +30,10 @@
     private static final double SCORE_NOISE = 0.04;
 
     /**
-     * Runners that one choice looks at, beside the one with most of the prompt cached. Fewer would
-     * miss the fast ones of a mixed fleet, more would send all entry nodes to the same.
+     * Runners drawn by lot of which the better one may be chosen. With more, all entry nodes would
+     * overrun the runner that looks best in the loads that they all were told.
      */
-    private static final int SAMPLE_SIZE = 6;
+    private static final int DRAWN = 2;
 
     private final String ownFailureDomain;
     private final DoubleSupplier random;
@@ -71,23 +72,24 @@
 
     private List<RunnerView> candidates(List<RunnerView> views) {
         List<RunnerView> sound = views.stream().filter(view -> !view.avoided()).toList();
-        List<RunnerView> drawn = new ArrayList<>(sound.isEmpty() ? views : sound);
-        if (drawn.size() <= SAMPLE_SIZE) {
-            return drawn;
-        }
-        RunnerView warmest =
-                drawn.stream().max(Comparator.comparingInt(RunnerView::cachedTokens)).orElseThrow();
-        for (int i = 0; i < SAMPLE_SIZE; i++) {
-            int other = i + (int) (random.getAsDouble() * (drawn.size() - i));
-            RunnerView swapped = drawn.get(i);
-            drawn.set(i, drawn.get(other));
-            drawn.set(other, swapped);
+        List<RunnerView> all = sound.isEmpty() ? views : sound;
+        Set<RunnerView> candidates = new LinkedHashSet<>();
+        RunnerView warmest = null;
+        for (RunnerView view : all) {
+            if (view.loadIsOwn()) {
+                candidates.add(view);
+            }
+            if (warmest == null || view.cachedTokens() > warmest.cachedTokens()) {
+                warmest = view;
+            }
         }
-        List<RunnerView> candidates = new ArrayList<>(drawn.subList(0, SAMPLE_SIZE));
-        if (warmest.cachedTokens() > 0 && !candidates.contains(warmest)) {
+        if (warmest != null && warmest.cachedTokens() > 0) {
             candidates.add(warmest);
         }
-        return candidates;
+        for (int i = 0; i < DRAWN && !all.isEmpty(); i++) {
+            candidates.add(all.get((int) (random.getAsDouble() * all.size())));
+        }
+        return List.copyOf(candidates);
     }
 
     private double score(RunnerView view, Work work, double knownMs) {
@@ -98,7 +100,9 @@
         double waitMs =
                 view.load() < slots ? 0 : workMs * (view.load() - slots + 1) / slots + workMs / 2;
         int coldTokens = Math.max(0, work.promptTokens() - view.cachedTokens());
-        double prefillMs = coldTokens / PREFILL_TOKENS_PER_MS;
+        // Reading a prompt holds up every request of the batch.
+        double batch = 1 + Math.min(view.load(), slots);
+        double prefillMs = coldTokens / PREFILL_TOKENS_PER_MS * batch;
         double wayMs = view.runner().failureDomain().equals(ownFailureDomain) ? 0 : OTHER_DOMAIN_MS;
         double failureMs = view.failureShare() * work.failureCostMs();
         double score = workMs * slowdown + waitMs + prefillMs + wayMs + failureMs;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
@@ -41,9 +41,10 @@
             Set<String> excluded) {
         long nowNs = clockNs.getAsLong();
         List<RunnerView> views = new ArrayList<>();
+        double fleetMean = fleetMean(service, nowNs);
         for (Runner runner : directory.usable(service)) {
             if (!excluded.contains(runner.incarnation())) {
-                views.add(stats(runner).view(runner, prompt, nowNs));
+                views.add(stats(runner).view(runner, prompt, fleetMean, nowNs));
             }
         }
         int promptTokens = 0;
@@ -55,6 +56,17 @@
         return chosen == null ? null : chosen.runner();
     }
 
+    private double fleetMean(String service, long nowNs) {
+        double sum = 0;
+        int known = 0;
+        for (Runner runner : directory.usable(service)) {
+            double load = stats(runner).fleetLoad(nowNs);
+            sum += Math.max(0, load);
+            known += load < 0 ? 0 : 1;
+        }
+        return known == 0 ? 0 : sum / known;
+    }
+
     /** What was seen of runners since this was last called, and what is under way there. */
     public List<RunnerTally> takeSeen() {
         List<RunnerTally> seen = new ArrayList<>();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerStats.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerStats.java
@@ -29,6 +29,12 @@
     /** Age at which the fleet's count of requests under way says nothing about now. */
     private static final long FLEET_LOAD_MAX_AGE_MS = 2_500;
 
+    /** Time in which half of a runner's requests have ended and others come: about one answer. */
+    private static final double LOAD_HALF_LIFE_MS = 300;
+
+    /** Age of the fleet's counts when they arrive: half a second each for report and exchange. */
+    private static final double FLEET_DELAY_MS = 700;
+
     /** Requests without a failure that a runner nobody has tried is credited with. */
     private static final double ASSUMED_SUCCESSES = 3;
 
@@ -143,7 +149,13 @@
         fleetAtNs = nowNs;
     }
 
-    synchronized RunnerView view(Runner runner, List<PromptPart> prompt, long nowNs) {
+    /**
+     * This runner for a choice.
+     *
+     * @param fleetMean requests that a runner of the service holds in the mean
+     */
+    synchronized RunnerView view(
+            Runner runner, List<PromptPart> prompt, double fleetMean, long nowNs) {
         int cached = 0;
         for (PromptPart part : prompt) {
             if (!parts.containsKey(part.id())) {
@@ -153,7 +165,13 @@
         }
         boolean avoided = nowNs - avoidUntilNs < 0 && avoidUntilNs != 0;
         return new RunnerView(
-                runner, load(nowNs), speedMs(nowNs), cached, failureShare(nowNs), avoided);
+                runner,
+                Math.max(underWay, load(fleetMean, nowNs)),
+                loadKnown(nowNs),
+                speedMs(nowNs),
+                cached,
+                failureShare(nowNs),
+                avoided);
     }
 
     /** Time for a unit of work in ms, 0 if nothing is known. */
@@ -161,14 +179,27 @@
         return speedMs(nowNs);
     }
 
-    private int load(long nowNs) {
-        if (loadReported && nowNs - reportedAtNs < REPORT_MAX_AGE_MS * NS_PER_MS) {
+    /** Whether the runner told its load so lately that it says something about now. */
+    private boolean loadKnown(long nowNs) {
+        return loadReported && nowNs - reportedAtNs < REPORT_MAX_AGE_MS * NS_PER_MS;
+    }
+
+    /** Requests of all nodes there as the fleet told, or -1 if it did not lately. */
+    synchronized double fleetLoad(long nowNs) {
+        return fleetKnown(nowNs, FLEET_LOAD_MAX_AGE_MS) ? fleet.underWay() : -1;
+    }
+
+    private double load(double fleetMean, long nowNs) {
+        if (loadKnown(nowNs)) {
             return underWay + othersRunning;
         }
         if (fleetKnown(nowNs, FLEET_LOAD_MAX_AGE_MS)) {
-            return underWay + fleetOthersUnderWay;
+            // What was told of one runner is soon no better than the mean of all.
+            double ageMs = (nowNs - fleetAtNs) / (double) NS_PER_MS + FLEET_DELAY_MS;
+            double weight = Math.pow(0.5, ageMs / LOAD_HALF_LIFE_MS);
+            return underWay + fleetMean + (fleetOthersUnderWay - fleetMean) * weight;
         }
-        return underWay + othersRunning / 2;
+        return underWay + othersRunning / 2.0;
     }
 
     private double speedMs(long nowNs) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerView.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerView.java
@@ -3,7 +3,8 @@
 /**
  * A runner as a choice sees it.
  *
- * @param load requests it is believed to hold, ours and others'
+ * @param load requests it is believed to hold, ours and others'; a fraction where it is a mean
+ * @param loadIsOwn whether the runner told the load to this node just now
  * @param msPerUnit learned time for a unit of work, or 0 if nothing is known
  * @param cachedTokens prompt tokens it is believed to have cached
  * @param failureShare part of its requests that it is believed to fail, between 0 and 1
@@ -11,7 +12,8 @@
  */
 public record RunnerView(
         Runner runner,
-        int load,
+        double load,
+        boolean loadIsOwn,
         double msPerUnit,
         int cachedTokens,
         double failureShare,
