--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorExchange.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorExchange.java
@@ -17,12 +17,14 @@
     /** Longest wait for another keeper. */
     private static final long CALL_TIMEOUT_MS = 400;
 
-    /** Time for which a peer's word that it is in touch with the service holds. */
+    /** Time for which another keeper's answer holds; one is asked twice a second. */
     private static final long LIVE_MS = 1500;
 
     private final StoreMirror mirror;
     private final KeeperClient keepers;
     private final BooleanSupplier watching;
+    private volatile boolean alone;
+    private volatile long heardNs;
     private volatile long peerLiveNs;
     private int next;
 
@@ -38,21 +40,30 @@
     /** Answers a question. */
     public MirrorChanges answer(MirrorCodec.Question question) throws InterruptedException {
         mirror.awaitNewer(question.knownRevision(), question.waitMs());
-        boolean live = watching.getAsBoolean() || (!question.first() && peerLive());
+        boolean live = question.first() ? watching.getAsBoolean() : live();
         return mirror.since(question.knownRevision(), question.knownDigest(), live);
     }
 
-    /** Asks one other member of {@code view}, each in its turn; blocks for its answer. */
+    /** Asks another member of {@code view}, each in its turn, until one answers; blocks. */
     public void round(KeeperView view, KeeperView.Member self) {
         List<KeeperView.Member> others = new ArrayList<>(view.members());
         others.remove(self);
-        if (others.isEmpty() || mirror.revision() == 0) {
+        alone = others.isEmpty();
+        if (mirror.revision() == 0) {
             return;
         }
         next++;
+        for (int i = 0; i < others.size(); i++) {
+            if (ask(view, others.get(Math.floorMod(next + i, others.size())))) {
+                return;
+            }
+        }
+    }
+
+    private boolean ask(KeeperView view, KeeperView.Member member) {
         MirrorChanges changes =
                 keepers.call(
-                        others.get(Math.floorMod(next, others.size())),
+                        member,
                         view.version(),
                         LedgerOperation.CHANGES,
                         MirrorCodec.encode(
@@ -60,17 +71,26 @@
                                         mirror.revision(), mirror.digest(), 0, true)),
                         CALL_TIMEOUT_MS,
                         MirrorCodec::read);
-        if (changes != null) {
-            mirror.merge(changes);
-            if (changes.live()) {
-                peerLiveNs = System.nanoTime();
-            }
+        if (changes == null) {
+            return false;
         }
+        mirror.merge(changes);
+        heardNs = System.nanoTime();
+        if (changes.live()) {
+            peerLiveNs = heardNs;
+        }
+        return true;
+    }
+
+    /**
+     * Whether the newest is known here. A watch that fell silent looks like one without news, so
+     * one's own counts only while another keeper answers, too: it would know more.
+     */
+    private boolean live() {
+        return (watching.getAsBoolean() && (alone || lately(heardNs))) || lately(peerLiveNs);
     }
 
-    /** Whether a keeper that was asked lately watches the service. */
-    private boolean peerLive() {
-        long heardNs = peerLiveNs;
-        return heardNs != 0 && System.nanoTime() - heardNs < TimeUnit.MILLISECONDS.toNanos(LIVE_MS);
+    private static boolean lately(long ns) {
+        return ns != 0 && System.nanoTime() - ns < TimeUnit.MILLISECONDS.toNanos(LIVE_MS);
     }
 }
--- a/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
+++ b/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
@@ -164,10 +164,12 @@
     /** However much changes, an entry node calls the service once. */
     @Test
     void changesComeThroughKeepers() {
+        keepers.forEach(keeper -> keeper.exchange.round(view(), keeper.self));
         InMemoryStore store = new InMemoryStore(state, executor);
         Known known = entryNode(store);
         await(known, "config", "1");
         for (int version = 2; version < 30; version++) {
+            keepers.forEach(keeper -> keeper.exchange.round(view(), keeper.self));
             put("config", Integer.toString(version));
             await(known, "config", Integer.toString(version));
         }
@@ -191,6 +193,24 @@
         assertThat(known.values).containsEntry("config", "2");
     }
 
+    /** The keepers' watches fell silent, which looks like no news, and they cannot ask others. */
+    @Test
+    void changesComeThoughKeepersDoNotNoticeThatTheyAreCutOff() {
+        Known known = entryNode(new InMemoryStore(state, executor));
+        await(known, "config", "1");
+        keepers.forEach(keeper -> keeper.store.setDown(true));
+        put("config", "2");
+        KeeperView.Member unreachable = new KeeperView.Member("c", "127.0.0.1:1");
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (!"2".equals(known.values.get("config")) && System.nanoTime() < endNs) {
+            for (Keeper keeper : keepers) {
+                keeper.exchange.round(
+                        new KeeperView(1, List.of(keeper.self, unreachable)), keeper.self);
+            }
+        }
+        assertThat(known.values).containsEntry("config", "2");
+    }
+
     @Test
     void changesComeWithoutAnyKeeper() {
         Known known = entryNode(new InMemoryStore(state, executor));
