[mirror] Tell waiting entry nodes at once when there is no news to be had; read the store then without waiting

A question waited its whole second, and 1.2 s passed after its answer. Change: a waiting question ends within 0.2 s once the keeper is not in touch; the entry node reads the store in its next round, and asks four times a second while nobody has news.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
@@ -27,6 +27,9 @@
     /** Pause between questions, in which changes that come together are told together. */
     private static final long BATCH_MS = 80;
 
+    /** Pause between questions while keepers have no news; the service is read meanwhile. */
+    private static final long STALE_PAUSE_MS = 250;
+
     /** Pause while no keeper answers. */
     private static final long RETRY_MS = 100;
 
@@ -88,7 +91,11 @@
             read();
         }
         boolean asked = mirror.revision() > 0 && ask();
-        Thread.sleep(asked ? BATCH_MS : RETRY_MS);
+        if (asked) {
+            Thread.sleep(stale() ? STALE_PAUSE_MS : BATCH_MS);
+        } else {
+            Thread.sleep(RETRY_MS);
+        }
     }
 
     private boolean stale() {
@@ -115,9 +122,8 @@
             return false;
         }
         mirror.merge(changes);
-        if (changes.live()) {
-            freshNs = System.nanoTime();
-        }
+        // The next round reads the service itself if the keeper knows no news.
+        freshNs = changes.live() ? System.nanoTime() : 0;
         note(changes.live(), "keeper out of touch with the service");
         return true;
     }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorExchange.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorExchange.java
@@ -18,7 +18,9 @@
     private static final long CALL_TIMEOUT_MS = 400;
 
     /** Time for which another keeper's answer holds; one is asked twice a second. */
-    private static final long LIVE_MS = 1500;
+    private static final long LIVE_MS = 1100;
+
+    private static final long LIVE_CHECK_MS = 200;
 
     private final StoreMirror mirror;
     private final KeeperClient keepers;
@@ -39,7 +41,12 @@
 
     /** Answers a question. */
     public MirrorChanges answer(MirrorCodec.Question question) throws InterruptedException {
-        mirror.awaitNewer(question.knownRevision(), question.waitMs());
+        long leftMs = question.waitMs();
+        // Whoever waits is told at once that there is no news to be had here.
+        while (leftMs > 0 && mirror.revision() <= question.knownRevision() && live()) {
+            mirror.awaitNewer(question.knownRevision(), Math.min(leftMs, LIVE_CHECK_MS));
+            leftMs -= LIVE_CHECK_MS;
+        }
         boolean live = question.first() ? watching.getAsBoolean() : live();
         return mirror.since(question.knownRevision(), question.knownDigest(), live);
     }
