[mirror] Keep missing keys only after a reading that failed

Cause, from reading: four keys or more missing at one reading were taken for lapsed leases and kept for 2 s. On the grown sites seven runners and more leave at once; where that falls into a lost watch (platform_compact) they would get requests past the time to drain. Ruled out: an outage that passes unnoticed: it would have to end within the 3.7 s of one watch call, in which leases of 3.6 s hardly lapse. Change: only a failed reading counts as an outage.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreMirror.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreMirror.java
@@ -28,12 +28,6 @@
     /** Owners of lapsed keys write them again within about two seconds of the service's return. */
     public static final long RETURN_GRACE_MS = 2000;
 
-    /**
-     * Missing keys at one reading that mean that leases lapsed: so many hosts never end between two
-     * readings, and the outage itself may have passed unnoticed.
-     */
-    private static final int LAPSE_KEYS = 4;
-
     /** Removals remembered; whoever knows less is sent everything. */
     private static final int MAX_REMOVALS = 2000;
 
@@ -100,7 +94,7 @@
     @Override
     public synchronized void all(RangeResult read, boolean afterOutage) {
         List<String> missing = missing(read);
-        keepOrRemove(missing, read.revision(), afterOutage || missing.size() >= LAPSE_KEYS);
+        keepOrRemove(missing, read.revision(), afterOutage);
         read.entries().forEach(this::put);
         advance(read.revision());
         listener.complete();
