--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/membership/MembershipMachine.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/membership/MembershipMachine.java
@@ -79,6 +79,11 @@
         return actions;
     }
 
+    /** Whether the incarnation has a live session, as last seen. */
+    public boolean knows(String incarnation) {
+        return peers.containsKey(incarnation);
+    }
+
     /** The nodes as last decided. */
     public MemberView view() {
         return view;
--- a/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/membership/MembershipService.java
+++ b/skylarkmast-daemon/src/main/java/org/skylarkmast/daemon/membership/MembershipService.java
@@ -12,6 +12,8 @@
 import org.skylarkmast.core.ownership.SessionRecord;
 import org.skylarkmast.core.scheduling.PeerLoad;
 import org.skylarkmast.daemon.loop.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Carries out the membership decisions: rounds of heartbeats, and what they show.
@@ -19,6 +21,8 @@
  * <p>All state belongs to the membership loop; public methods may be called from any thread.
  */
 public final class MembershipService {
+    private static final Logger LOG = LoggerFactory.getLogger(MembershipService.class);
+
     private static final long NS_PER_MS = 1_000_000L;
 
     private final MembershipMachine machine;
@@ -112,7 +116,16 @@
 
     private void heard(String incarnation, boolean draining, List<PeerLoad> loads) {
         on(new MembershipEvent.PeerHeard(incarnation, draining));
-        listener.peerLoad(incarnation, loads);
+        // Only a peer that is known can be reported gone later, which takes its loads back.
+        if (machine.knows(incarnation)) {
+            listener.peerLoad(incarnation, loads);
+        } else if (!loads.isEmpty()) {
+            LOG.atDebug()
+                    .addKeyValue("event", "peer_loads_ignored")
+                    .addKeyValue("incarnation", incarnation)
+                    .addKeyValue("runners", loads.size())
+                    .log();
+        }
     }
 
     private void on(MembershipEvent event) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSend.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSend.java
@@ -25,7 +25,7 @@
      */
     private static final int CONNECT_TIMEOUT_MS = 400;
 
-    /** Time without a word after which a runner is to blame for a request whose time ended. */
+    /** Silence after which a request that timed out counts as a failure of its runner. */
     private static final long SILENT_MS = 1000;
 
     private static final int BUFFER_BYTES = 8192;
@@ -203,7 +203,7 @@
             Runner runner, Exchange exchange, AnswerSink sink, long sentNs, String reason) {
         long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNs);
         boolean ownEnd = exchange.isCallerGone() || exchange.isExpired();
-        // A runner that lets a request's time pass without a word fails it as well.
+        // A timeout without any answer is a failure of the runner as well.
         if (!ownEnd || (!sink.begun() && tookMs >= SILENT_MS)) {
             pool.failed(runner);
         }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendLoop.java
@@ -26,10 +26,10 @@
     /** Pause while a service has no usable runner. */
     private static final long NO_RUNNER_PAUSE_MS = 30;
 
-    /** What a failure costs that another send can make good: about one more answer. */
+    /** Cost of a failure that a retry can repair: about one more answer. */
     private static final double REPEAT_COST_MS = 200;
 
-    /** How often the usual time of an answer a runner may be silent: most take less than thrice. */
+    /** Multiple of the usual answer time after which an idempotent request is retried elsewhere. */
     private static final double SILENCE_FACTOR = 6;
 
     /** Silence that is no sign of a fault: a queue at the runner, a lost packet on the way. */
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/KeeperReach.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/KeeperReach.java
@@ -12,13 +12,15 @@
 /**
  * Which keepers answer this process, and which one to ask next; thread-safe, no I/O.
  *
- * <p>Answers large fleets: a keeper that answers is believed in until a call fails, and only one of
- * them is asked a second, so the cost of a node does not grow with the number of keepers.
+ * <p>Answers large fleets: a keeper that answered counts as reachable until a call fails, and only
+ * one is probed a second, so the cost of a node does not grow with the number of keepers.
  */
 final class KeeperReach {
     private static final Logger LOG = LoggerFactory.getLogger(KeeperReach.class);
 
-    /** Time since a keeper's last answer for which a failed call does not yet make it count out. */
+    /**
+     * Time after a keeper's last answer during which a failed call does not make it unreachable.
+     */
     private static final long REACHABLE_MS = 1200;
 
     /**
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorChanges.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorChanges.java
@@ -8,7 +8,7 @@
  *
  * @param revision revision up to which the sender knows all changes
  * @param whole whether {@code written} is all there is, so that other keys are gone
- * @param live whether the sender is in touch with the key-value service
+ * @param live whether the sender is up to date with the key-value service
  */
 public record MirrorChanges(
         long revision,
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
@@ -10,36 +10,36 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps an entry node's mirror up to date through keepers, and through the service itself at the
- * start and while no keeper in touch with it answers.
+ * Keeps an entry node's mirror up to date by long polls of keepers, and by direct reads of the
+ * service at the start and while no keeper that is connected to it answers.
  *
  * <p>Runs on one thread of its own.
  */
 public final class MirrorClient implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(MirrorClient.class);
 
-    /** Longest wait of one question; a change is told at once. */
+    /** Longest wait of one long poll; a change ends it at once. */
     private static final int WAIT_MS = 1000;
 
-    /** Extra time for the answer to such a wait. */
+    /** Time for the answer beyond the wait. */
     private static final long ANSWER_MS = 400;
 
-    /** Pause between questions, in which changes that come together are told together. */
+    /** Pause between polls, which batches changes that come close together. */
     private static final long BATCH_MS = 80;
 
-    /** Pause between questions while keepers have no news; the service is read meanwhile. */
+    /** Pause between polls while no keeper is connected to the service. */
     private static final long STALE_PAUSE_MS = 250;
 
     /** Pause while no keeper answers. */
     private static final long RETRY_MS = 100;
 
     /**
-     * Time without word from a keeper in touch with the service after which the service is read: a
-     * configuration must be in force within two seconds.
+     * Time since the last answer of a keeper connected to the service after which the service is
+     * read directly: a configuration must be in force within two seconds.
      */
     private static final long STALE_MS = 1200;
 
-    /** Pause between readings of the service; each reading is paid for. */
+    /** Pause between direct reads; the platform charges for each call. */
     private static final long READ_PAUSE_MS = 1000;
 
     private static final long MAX_READ_PAUSE_MS = 4000;
@@ -122,9 +122,9 @@
             return false;
         }
         mirror.merge(changes);
-        // The next round reads the service itself if the keeper knows no news.
+        // The next round reads the service directly if the keeper is not connected to it.
         freshNs = changes.live() ? System.nanoTime() : 0;
-        note(changes.live(), "keeper out of touch with the service");
+        note(changes.live(), "keeper not connected to the service");
         return true;
     }
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorCodec.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorCodec.java
@@ -18,8 +18,8 @@
      * @param knownRevision what the asker knows already, 0 for nothing
      * @param knownDigest the asker's {@link StoreMirror#digest}
      * @param waitMs how long to wait while there is nothing newer
-     * @param first whether only the answering process's own touch with the service counts: between
-     *     keepers, what one heard of another must not come back as news
+     * @param first whether only the answering process's own connection to the service counts:
+     *     keepers must not confirm each other in a circle
      */
     public record Question(long knownRevision, long knownDigest, int waitMs, boolean first) {}
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorExchange.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorExchange.java
@@ -9,8 +9,8 @@
 import org.skylarkmast.relay.ledger.LedgerOperation;
 
 /**
- * Answers questions for changes, and fetches what other keepers know more, so that a keeper cut off
- * from the key-value service still tells the newest; thread-safe.
+ * Answers polls for changes, and fetches changes from other keepers (anti-entropy), so that a
+ * keeper cut off from the key-value service stays up to date; thread-safe.
  */
 public final class MirrorExchange {
 
@@ -42,7 +42,7 @@
     /** Answers a question. */
     public MirrorChanges answer(MirrorCodec.Question question) throws InterruptedException {
         long leftMs = question.waitMs();
-        // Whoever waits is told at once that there is no news to be had here.
+        // A poll ends early once this keeper may be missing changes.
         while (leftMs > 0 && mirror.revision() <= question.knownRevision() && live()) {
             mirror.awaitNewer(question.knownRevision(), Math.min(leftMs, LIVE_CHECK_MS));
             leftMs -= LIVE_CHECK_MS;
@@ -51,7 +51,7 @@
         return mirror.since(question.knownRevision(), question.knownDigest(), live);
     }
 
-    /** Asks another member of {@code view}, each in its turn, until one answers; blocks. */
+    /** Fetches changes from one other member of {@code view}, in rotation; blocks. */
     public void round(KeeperView view, KeeperView.Member self) {
         List<KeeperView.Member> others = new ArrayList<>(view.members());
         others.remove(self);
@@ -90,8 +90,8 @@
     }
 
     /**
-     * Whether the newest is known here. A watch that fell silent looks like one without news, so
-     * one's own counts only while another keeper answers, too: it would know more.
+     * Whether this keeper is up to date. A silent connection looks like a watch without changes, so
+     * the own watch counts only while another keeper answers, which would pass changes on.
      */
     private boolean live() {
         return (watching.getAsBoolean() && (alone || lately(heardNs))) || lately(peerLiveNs);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreMirror.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreMirror.java
@@ -180,7 +180,7 @@
      *
      * @param knownDigest the {@link #digest} of the asker, which is told everything if it should be
      *     the same and is not
-     * @param live whether this process is in touch with the service
+     * @param live whether this process is up to date with the service
      */
     public synchronized MirrorChanges since(long knownRevision, long knownDigest, boolean live) {
         boolean differs = knownRevision == revision && knownDigest != digest();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerChooser.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerChooser.java
@@ -11,9 +11,9 @@
  * <p>Answers light and moderate load, where speed and cached prompts decide; bursts, where a runner
  * without a free slot counts as many times slower as it has requests waiting; runners that fail
  * part of their requests, which count as slower by what a failure costs; and many entry nodes over
- * the same runners: beside those that told this node their load just now a choice only looks at two
- * drawn by lot, as all nodes know the same old loads of the rest and would choose the same one.
- * Pure.
+ * the same runners: beside runners with a fresh load report to this node, a choice only compares
+ * two random ones (power of two choices), as all nodes share the same stale loads of the rest and
+ * would choose the same one. Pure.
  */
 public final class RunnerChooser {
 
@@ -30,8 +30,8 @@
     private static final double SCORE_NOISE = 0.04;
 
     /**
-     * Runners drawn by lot of which the better one may be chosen. With more, all entry nodes would
-     * overrun the runner that looks best in the loads that they all were told.
+     * Random candidates of each choice. With more, all entry nodes would herd on the runner that
+     * looks best in the stale loads they share.
      */
     private static final int DRAWN = 2;
 
@@ -100,7 +100,7 @@
         double waitMs =
                 view.load() < slots ? 0 : workMs * (view.load() - slots + 1) / slots + workMs / 2;
         int coldTokens = Math.max(0, work.promptTokens() - view.cachedTokens());
-        // Reading a prompt holds up every request of the batch.
+        // Prefill stalls the decoding of every request in the batch.
         double batch = 1 + Math.min(view.load(), slots);
         double prefillMs = coldTokens / PREFILL_TOKENS_PER_MS * batch;
         double wayMs = view.runner().failureDomain().equals(ownFailureDomain) ? 0 : OTHER_DOMAIN_MS;
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetLearningTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetLearningTest.java
@@ -8,8 +8,8 @@
 /**
  * What callers get where many entry nodes share runners of uneven speed, of which some fail.
  *
- * <p>Bounds hold against the same nodes without word from each other, or against the fastest that
- * the fleet could be; each case says which load it plays.
+ * <p>Bounds hold against the same nodes without shared statistics, or against the fastest that the
+ * fleet could be; each case says which load it plays.
  */
 class FleetLearningTest {
     private static final long[] SEEDS = {11, 23, 37, 59, 83};
@@ -24,7 +24,7 @@
         return new FleetLoad(seed, perS, told, failFromMs).play();
     }
 
-    /** Twice as many requests may meet slow runners as there is room for on slow ones alone. */
+    /** A third of the runners is slow; less than a fifth of the requests may go there. */
     @ParameterizedTest(name = "seed {0}")
     @ValueSource(longs = {11, 23, 37, 59, 83})
     void callersMostlyGetFastRunners(long seed) {
@@ -34,7 +34,7 @@
         assertThat(together.slowShare()).isLessThan(0.2);
     }
 
-    /** At a heavy load nobody may be refused for lack of room, nor wait as long as he is served. */
+    /** No request may be refused for lack of room, or queue for longer than a slow answer takes. */
     @ParameterizedTest(name = "seed {0}")
     @ValueSource(longs = {11, 23, 37, 59, 83})
     void noRunnerIsOverrunThoughAllKnowWhichIsBest(long seed) {
@@ -44,7 +44,7 @@
                 .isLessThan(FleetLoad.TOKENS * FleetLoad.SLOW_MS_PER_TOKEN);
     }
 
-    /** Half as many callers may meet a failing runner as would without word from each other. */
+    /** Sharing must halve the requests that meet a failing runner. */
     @ParameterizedTest(name = "seed {0}")
     @ValueSource(longs = {11, 23, 37, 59, 83})
     void fewCallersMeetAFailingRunner(long seed) {
