[test] Wait for a stopped engine's port in the upkeep tests

The kernel frees a listening port only once the thread that waits in accept has run; KeeperCluster met the same before. Ruled out: another process on that port (an ephemeral one, taken milliseconds before). The case at line 56 starts its engine by the same method.

--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/engine/EngineUpkeepTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/engine/EngineUpkeepTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -189,9 +190,23 @@
         return "127.0.0.1:" + engine.port();
     }
 
+    /**
+     * Starts an engine, waiting while the one stopped before still holds the port: the kernel frees
+     * a listening port only once the thread that waits in accept has run again.
+     */
     private static EngineStandIn startEngine(int port) throws IOException {
-        return EngineStandIn.start(
-                port,
-                new EngineOptions("e1", "m", "v1", 1e6, 1e4, 1_000, 1, 1, true, Optional.empty()));
+        EngineOptions options =
+                new EngineOptions("e1", "m", "v1", 1e6, 1e4, 1_000, 1, 1, true, Optional.empty());
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(EVENT_CAP_S);
+        while (true) {
+            try {
+                return EngineStandIn.start(port, options);
+            } catch (BindException e) {
+                if (port == 0 || System.nanoTime() - endNs >= 0) {
+                    throw e;
+                }
+                Thread.onSpinWait();
+            }
+        }
     }
 }
