[relay] Log how a runner framed its answer and where its stream ended

Three causes fit what the nodes logged: an answer without length that ends with its connection, a chunked answer that is ended in order, a reset taken for the end of input. request_ended now has framing and trailingBytes (bytes after the last complete event), and skylarkmast_runner_answers_total counts answers by framing, outcome and whether they ended inside an event. No decision uses them.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/AnswerWriter.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/AnswerWriter.java
@@ -21,6 +21,8 @@
     private boolean isComplete;
     private String lastEventId = "";
     private int eventsWritten;
+    private String runnerFraming = "";
+    private int trailingBytes;
 
     AnswerWriter(
             CallerConnection caller,
@@ -58,12 +60,23 @@
         return eventsWritten * tokensPerEvent;
     }
 
+    /** How the runner framed the last answer, empty if there was none. */
+    String runnerFraming() {
+        return runnerFraming;
+    }
+
+    /** Number of bytes that followed the last complete event of the runner's stream. */
+    int trailingBytes() {
+        return trailingBytes;
+    }
+
     /** Data of the events written, each followed by a line feed. */
     byte[] output() {
         return output.toByteArray();
     }
 
     void writeComplete(RunnerAnswer answer, byte[] body) throws IOException {
+        runnerFraming = answer.framing().label();
         hasBegun = true;
         closesConnection = closeAfterAnswer.getAsBoolean();
         caller.writeAnswer(
@@ -73,6 +86,7 @@
 
     /** Writes the head, unless this stream is resumed at another runner and already has one. */
     void beginStream(RunnerAnswer answer) throws IOException {
+        runnerFraming = answer.framing().label();
         if (!hasBegun) {
             hasBegun = true;
             closesConnection = closeAfterAnswer.getAsBoolean();
@@ -100,6 +114,11 @@
         writeChunk(bytes.toByteArray(), bytes.size());
     }
 
+    /** Records what followed the last complete event when the runner's stream ended. */
+    void recordTrailingBytes(int count) {
+        trailingBytes = count;
+    }
+
     void writeChunk(byte[] bytes, int length) throws IOException {
         caller.writeChunk(bytes, 0, length);
     }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -328,6 +328,8 @@
             entry.runner = loop.lastRunner();
             entry.sends = loop.sends();
             entry.tokens = writer.tokensWritten();
+            entry.framing = writer.runnerFraming();
+            entry.trailingBytes = writer.trailingBytes();
             boolean settledByAppend = writer.isComplete() && route.storesTurns();
             if (reserved && !settledByAppend) {
                 settle(writer.tokensWritten());
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
@@ -13,6 +13,7 @@
     private static final long NS_PER_MS = 1_000_000;
 
     private final Counter requests;
+    private final Counter runnerAnswers;
     private final Histogram seconds;
 
     /** The data logged for a request, filled in while it is served. Confined to one thread. */
@@ -24,11 +25,13 @@
         String service = "";
         String runner = "";
         String reservation = "";
+        String framing = "";
         String reason = "";
         long version;
         int chainLength;
         int sends;
         int tokens;
+        int trailingBytes;
         int status;
 
         Entry(long startedNs) {
@@ -44,6 +47,12 @@
                         .help("Requests that ended, by outcome and status.")
                         .labelNames("outcome", "status")
                         .register(registry);
+        runnerAnswers =
+                Counter.builder()
+                        .name("skylarkmast_runner_answers_total")
+                        .help("Runners' answers by framing, and whether all events were complete.")
+                        .labelNames("framing", "outcome", "ends_inside_event")
+                        .register(registry);
         seconds =
                 Histogram.builder()
                         .name("skylarkmast_request_seconds")
@@ -57,6 +66,10 @@
     void logEnd(String outcome, Entry entry) {
         long tookNs = System.nanoTime() - entry.startedNs;
         requests.labelValues(outcome, Integer.toString(entry.status)).inc();
+        if (!entry.framing.isEmpty()) {
+            String endsInsideEvent = Boolean.toString(entry.trailingBytes > 0);
+            runnerAnswers.labelValues(entry.framing, outcome, endsInsideEvent).inc();
+        }
         seconds.labelValues(outcome).observe(tookNs / NS_PER_SECOND);
         LOG.atInfo()
                 .addKeyValue("event", "request_ended")
@@ -72,6 +85,8 @@
                 .addKeyValue("reservation", entry.reservation)
                 .addKeyValue("chain", entry.chainLength)
                 .addKeyValue("tokens", entry.tokens)
+                .addKeyValue("framing", entry.framing)
+                .addKeyValue("trailingBytes", entry.trailingBytes)
                 .addKeyValue("tookMs", tookNs / NS_PER_MS)
                 .addKeyValue("reason", entry.reason)
                 .log();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSender.java
@@ -300,6 +300,7 @@
             }
         }
         byte[] remainder = splitter.remainder();
+        writer.recordTrailingBytes(remainder.length);
         if (remainder.length > 0) {
             // The runner ended the body regularly, so these bytes are part of the answer.
             writeToCaller(() -> writer.writeChunk(remainder, remainder.length));
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/Framing.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/Framing.java
@@ -33,6 +33,16 @@
     /** The body ends when the connection is closed. */
     record UntilClose() implements Framing {}
 
+    /** Returns the name of this framing in logs and metrics. */
+    default String label() {
+        return switch (this) {
+            case Empty empty -> "none";
+            case Length length -> "length";
+            case Chunked chunked -> "chunked";
+            case UntilClose untilClose -> "until_close";
+        };
+    }
+
     /**
      * Returns the framing that {@code fields} declare.
      *
