[relay] Treat a stream that ends inside an event as broken off

Cause: relayEvents took the regular end of a runner's body for the end of the stream. For an answer without length the end of the body is only the end of the connection, and a runner that fails closes it as well; the partial event was passed on as trailing bytes, the caller's answer was terminated, the turn was stored and the runner credited with a success. The class of fault: completeness inferred from the end of the transport, without looking at the message carried.

Ruled out: a reset read as the end of input (streamWithoutLengthThatIsResetIsNotTerminatedAsComplete passed before).

Change: a stream whose last event lacks its empty line is broken off, whatever its framing, and so is one without length that ends before its first event. It then goes the way of every broken stream: the runner is charged with a failure, a resumable stream goes on elsewhere after its last complete event, another caller's connection is reset, no turn is stored. Comments and empty lines after the last event do not count. A stream without length that is cut exactly between two events still looks complete: nothing in the answer tells.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/EventSplitter.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/EventSplitter.java
@@ -52,6 +52,17 @@
         return partial.toByteArray();
     }
 
+    /**
+     * Returns whether the bytes so far end inside an event: within a line, or after a line of an
+     * event whose empty line is missing. Comments and empty lines belong to no event.
+     */
+    boolean isInsideEvent() {
+        return lineLength > 0
+                || partial.toString(StandardCharsets.ISO_8859_1)
+                        .lines()
+                        .anyMatch(line -> !line.isEmpty() && !line.startsWith(":"));
+    }
+
     private static Event parse(byte[] bytes) {
         String text = new String(bytes, StandardCharsets.ISO_8859_1);
         String id = "";
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSender.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.skylarkmast.relay.http.Framing;
 import org.skylarkmast.relay.http.HeaderFields;
 import org.skylarkmast.relay.http.RunnerAnswer;
 import org.skylarkmast.relay.http.RunnerConnection;
@@ -301,8 +302,13 @@
         }
         byte[] remainder = splitter.remainder();
         writer.recordTrailingBytes(remainder.length);
+        // An answer without length ends with its connection, whether or not the runner completed
+        // it.
+        boolean endsUnmarked = answer.framing() instanceof Framing.UntilClose;
+        if (splitter.isInsideEvent() || (endsUnmarked && writer.lastEventId().isEmpty())) {
+            throw new IOException("stream ended inside an event");
+        }
         if (remainder.length > 0) {
-            // The runner ended the body regularly, so these bytes are part of the answer.
             writeToCaller(() -> writer.writeChunk(remainder, remainder.length));
         }
         if (!request.streamEndHook().beforeStreamEnd(writer)) {
