[http] Do not pass on a line that the end of the connection cut off

A daemon's engine stream cut inside a line looked malformed, so that the call failed where it could have been resumed; a cut cache event was parsed as a whole one. Such a response is now Broken, and the line is not passed on.

Before: HttpServerTest.doesNotPassOnLineThatTheConnectionCutOff failed (Answered, with the cut line).

--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
@@ -205,15 +205,46 @@
             }
             BufferedReader reader =
                     new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8));
-            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-                if (!consumer.onLine(line)) {
+            return switch (passLines(reader, consumer)) {
+                case COMPLETE -> new HttpOutcome.Answered(response.getCode(), headers, new byte[0]);
+                case INSIDE_LINE -> new HttpOutcome.Broken("response ended inside a line");
+                case STOPPED -> {
                     // Closing the stream first would drain the body, which may be endless.
                     connection.close(CloseMode.IMMEDIATE);
-                    return new HttpOutcome.Broken("consumer stopped reading");
+                    yield new HttpOutcome.Broken("consumer stopped reading");
                 }
+            };
+        }
+    }
+
+    /** How a response that was read by lines ended. */
+    private enum LinesEnd {
+        COMPLETE,
+        INSIDE_LINE,
+        STOPPED
+    }
+
+    /** Passes on complete lines; a response without length may end inside a line. */
+    private static LinesEnd passLines(BufferedReader reader, LineConsumer consumer)
+            throws IOException {
+        StringBuilder line = new StringBuilder();
+        boolean afterCarriageReturn = false;
+        for (int next = reader.read(); next >= 0; next = reader.read()) {
+            boolean completesCrLf = next == '\n' && afterCarriageReturn;
+            afterCarriageReturn = next == '\r';
+            if (completesCrLf) {
+                continue;
             }
-            return new HttpOutcome.Answered(response.getCode(), headers, new byte[0]);
+            if (next != '\n' && next != '\r') {
+                line.append((char) next);
+                continue;
+            }
+            if (!consumer.onLine(line.toString())) {
+                return LinesEnd.STOPPED;
+            }
+            line.setLength(0);
         }
+        return line.isEmpty() ? LinesEnd.COMPLETE : LinesEnd.INSIDE_LINE;
     }
 
     private void returnToPool(String address, DefaultBHttpClientConnection connection) {
--- a/skylarkmast-http/src/test/java/org/skylarkmast/http/HttpServerTest.java
+++ b/skylarkmast-http/src/test/java/org/skylarkmast/http/HttpServerTest.java
@@ -3,7 +3,13 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -72,6 +78,37 @@
         }
     }
 
+    @Test
+    void doesNotPassOnLineThatTheConnectionCutOff() throws IOException {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread.ofVirtual().start(() -> answerOnce(server, "HTTP/1.1 200 OK\r\n\r\na\nb"));
+            List<String> lines = new ArrayList<>();
+            HttpOutcome outcome =
+                    client.stream(
+                            ClientRequest.get(
+                                    "127.0.0.1:" + server.getLocalPort(), "/", TIMEOUT_MS),
+                            new AbortSignal(),
+                            lines::add);
+            assertThat(outcome).isInstanceOf(HttpOutcome.Broken.class);
+            assertThat(lines).containsExactly("a");
+        }
+    }
+
+    private static void answerOnce(ServerSocket server, String answer) {
+        try (Socket socket = server.accept()) {
+            BufferedReader reader =
+                    new BufferedReader(
+                            new InputStreamReader(
+                                    socket.getInputStream(), StandardCharsets.US_ASCII));
+            for (String line = reader.readLine();
+                    line != null && !line.isEmpty();
+                    line = reader.readLine()) {}
+            socket.getOutputStream().write(bytes(answer));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     @Test
     void closesConnectionWhenConsumerStopsReading() throws IOException {
         HttpReply.StreamBody endless =
