[engine] Ignore load reports that the connection cut off

The Prometheus text format ends each line with a line feed.

Before: ReleaseTrackerTest.ignoresLoadReportThatTheConnectionCutOff failed. After: 13 of 13 pass.

--- a/skylarkmast-core/src/main/java/org/skylarkmast/core/engine/LoadReport.java
+++ b/skylarkmast-core/src/main/java/org/skylarkmast/core/engine/LoadReport.java
@@ -19,9 +19,12 @@
 
     /**
      * Parses a report in the Prometheus text format; empty if a required metric is missing or
-     * malformed.
+     * malformed, or if the report is truncated: its last line must end with a line feed.
      */
     public static Optional<LoadReport> parse(String text) {
+        if (!text.endsWith("\n")) {
+            return Optional.empty();
+        }
         Map<String, Double> values = new HashMap<>();
         text.lines()
                 .filter(line -> !line.startsWith("#"))
--- a/skylarkmast-core/src/test/java/org/skylarkmast/core/engine/ReleaseTrackerTest.java
+++ b/skylarkmast-core/src/test/java/org/skylarkmast/core/engine/ReleaseTrackerTest.java
@@ -92,6 +92,14 @@
                                 : Optional.empty());
     }
 
+    @Test
+    void ignoresLoadReportThatTheConnectionCutOff() {
+        String text =
+                "engine_requests_waiting 1\nengine_start_time_seconds 1.5\n"
+                        + "engine_requests_running 1";
+        assertThat(LoadReport.parse(text)).isEmpty();
+    }
+
     private static long ms(long value) {
         return TimeUnit.MILLISECONDS.toNanos(value);
     }
