[relay] Log runners' software versions and the attempts that callers resume

An entry node's own resume, a caller's resume, and a stale registration all fit what was logged. Now runner_registered and request_ended name the runner's software version, request_ended the attempt that the caller resumes, and stream_resumed both runners of a stream that the node itself continues. No decision uses them.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/CallMetadata.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/CallMetadata.java
@@ -16,6 +16,8 @@
  * @param prompt parts of the prompt, in order
  * @param previousTurn request id of the turn that this one continues, empty if none
  * @param lastEventId last event that the caller received of a stream it resumes, empty if none
+ * @param resumedRequestId request id of the attempt that brought the first event of the stream that
+ *     this one resumes, empty if none
  */
 public record CallMetadata(
         String requestId,
@@ -27,7 +29,8 @@
         int expectedOutputTokens,
         List<PromptPart> prompt,
         String previousTurn,
-        String lastEventId) {
+        String lastEventId,
+        String resumedRequestId) {
 
     /** Value of a number that the caller did not send. */
     public static final long UNSET = -1;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -123,6 +123,7 @@
         entry.version = configuration.version();
         entry.requestId = call.requestId();
         entry.program = call.program();
+        entry.resumedRequestId = call.resumedRequestId();
         Route route = configuration.match(request.fields().first("Host"), request.path());
         if (route == null) {
             return refuse(
@@ -326,6 +327,7 @@
                     new RetryLoop(pool, sender, route, service, outboundRequest, exchange, writer);
             RetryLoop.Outcome outcome = loop.run();
             entry.runner = loop.lastRunner();
+            entry.runnerVersion = loop.lastRunnerVersion();
             entry.sends = loop.sends();
             entry.tokens = writer.tokensWritten();
             entry.framing = writer.runnerFraming();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
@@ -24,6 +24,8 @@
         String route = "";
         String service = "";
         String runner = "";
+        String runnerVersion = "";
+        String resumedRequestId = "";
         String reservation = "";
         String framing = "";
         String reason = "";
@@ -81,6 +83,8 @@
                 .addKeyValue("program", entry.program)
                 .addKeyValue("service", entry.service)
                 .addKeyValue("runner", entry.runner)
+                .addKeyValue("runnerVersion", entry.runnerVersion)
+                .addKeyValue("resumes", entry.resumedRequestId)
                 .addKeyValue("sends", entry.sends)
                 .addKeyValue("reservation", entry.reservation)
                 .addKeyValue("chain", entry.chainLength)
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
@@ -9,6 +9,8 @@
 import org.skylarkmast.relay.route.RouteKind;
 import org.skylarkmast.relay.runner.Runner;
 import org.skylarkmast.relay.runner.RunnerPool;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Sends a request to runners until it is answered, must not be sent again, or its deadline passes.
@@ -17,6 +19,7 @@
  * runners than the route's limit; runners that are gone do not count. Confined to one thread.
  */
 final class RetryLoop {
+    private static final Logger LOG = LoggerFactory.getLogger(RetryLoop.class);
 
     /** First back-off before overloaded runners are tried again; it doubles each time. */
     private static final long INITIAL_OVERLOAD_BACKOFF_MS = 10;
@@ -63,6 +66,7 @@
     private final Set<String> excludedIncarnations = new HashSet<>();
     private final long startedNs = System.nanoTime();
     private String lastRunner = "";
+    private String lastRunnerVersion = "";
     private long overloadBackoffMs = INITIAL_OVERLOAD_BACKOFF_MS;
     private int sends;
     private int retries;
@@ -96,6 +100,10 @@
         return lastRunner;
     }
 
+    String lastRunnerVersion() {
+        return lastRunnerVersion;
+    }
+
     int sends() {
         return sends;
     }
@@ -125,7 +133,11 @@
                 continue;
             }
             sends++;
+            if (!writer.lastEventId().isEmpty()) {
+                logResume(runner);
+            }
             lastRunner = runner.id();
+            lastRunnerVersion = runner.softwareVersion();
             last = sender.send(outboundRequest(runner), runner, exchange, writer);
             Outcome outcome = evaluate(last, runner);
             if (outcome != null) {
@@ -134,6 +146,18 @@
         }
     }
 
+    private void logResume(Runner runner) {
+        LOG.atInfo()
+                .addKeyValue("event", "stream_resumed")
+                .addKeyValue("request", request.requestId())
+                .addKeyValue("afterEvent", writer.lastEventId())
+                .addKeyValue("fromRunner", lastRunner)
+                .addKeyValue("fromVersion", lastRunnerVersion)
+                .addKeyValue("toRunner", runner.id())
+                .addKeyValue("toVersion", runner.softwareVersion())
+                .log();
+    }
+
     /** Returns the outcome if {@code result} is final, or null if the request is sent again. */
     private Outcome evaluate(SendResult result, Runner runner) {
         return switch (result) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerDirectory.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerDirectory.java
@@ -64,6 +64,7 @@
                 .addKeyValue("runner", runner.id())
                 .addKeyValue("service", runner.service())
                 .addKeyValue("address", runner.address())
+                .addKeyValue("softwareVersion", runner.softwareVersion())
                 .addKeyValue("draining", runner.draining())
                 .log();
     }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetSimulation.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetSimulation.java
@@ -78,7 +78,16 @@
 
         SimulatedRunner(int index) {
             this.index = index;
-            runner = new Runner("r" + index, "s", "10.0.0.1:" + (index + 1), "z", SLOTS, false, 1);
+            runner =
+                    new Runner(
+                            "r" + index,
+                            "s",
+                            "10.0.0.1:" + (index + 1),
+                            "z",
+                            SLOTS,
+                            "v1",
+                            false,
+                            1);
         }
 
         boolean isSlow() {
