[relay] Continue a stream only at the software version that began it

Cause: entry nodes did not know that runners of one service may differ in their software. The class of fault: state of a conversation (who began it) that the protocol does not carry is lost at a hand-over.

Change: an OriginBinding restricts each resumable request to runners of one service and version. The origin is written to a quorum of storage nodes with the reservation, in the same call, before the request is sent; a caller's resume reads it there. Origins are only added, so that a late write cannot hide one; with none or several the resume is rejected at once as not run. Messages and log entries are extended at their end, so that nodes of earlier releases read them; a resume whose origin only such nodes have seen is rejected. The steps before a send moved from Forwarder to RequestAdmission.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/AnswerWriter.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/AnswerWriter.java
@@ -55,6 +55,11 @@
         return lastEventId;
     }
 
+    /** Whether an event has been written or attempted. */
+    boolean hasEvents() {
+        return eventsWritten > 0 || !lastEventId.isEmpty();
+    }
+
     /** Number of tokens in the events written. */
     int tokensWritten() {
         return eventsWritten * tokensPerEvent;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/CallMetadata.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/CallMetadata.java
@@ -35,10 +35,20 @@
     /** Value of a number that the caller did not send. */
     public static final long UNSET = -1;
 
+    /** Most answers are about a quarter as long as the maximum that the caller allows. */
+    private static final int EXPECTED_OUTPUT_DIVISOR = 4;
+
     public CallMetadata {
         prompt = List.copyOf(prompt);
     }
 
+    /** Returns the likely number of tokens in the answer, at least 1. */
+    public int estimatedOutputTokens() {
+        return expectedOutputTokens > 0
+                ? expectedOutputTokens
+                : Math.max(1, maxOutputTokens / EXPECTED_OUTPUT_DIVISOR);
+    }
+
     /** Whether the tokens of the answer count against a budget of the program. */
     public boolean hasTokenBudget() {
         return !program.isEmpty() && tokenBudget != UNSET && maxOutputTokens > 0;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -18,8 +18,6 @@
 import org.skylarkmast.relay.http.MalformedMessageException;
 import org.skylarkmast.relay.http.RunnerConnectionPool;
 import org.skylarkmast.relay.ledger.ChainOutcome;
-import org.skylarkmast.relay.ledger.Reservation;
-import org.skylarkmast.relay.ledger.ReserveOutcome;
 import org.skylarkmast.relay.ledger.TurnLedger;
 import org.skylarkmast.relay.ledger.TurnRecord;
 import org.skylarkmast.relay.route.Route;
@@ -35,9 +33,6 @@
     /** Time after the deadline to write the answer before the caller's connection is aborted. */
     private static final long ABORT_DELAY_MS = 300;
 
-    /** Most answers are about a quarter as long as the maximum that the caller allows. */
-    private static final int EXPECTED_OUTPUT_DIVISOR = 4;
-
     /**
      * Divisor of the available time for the part of it that a request waits for storage nodes while
      * too few of them answer.
@@ -50,9 +45,6 @@
      */
     private static final long MAX_STARTUP_WAIT_MS = 800;
 
-    private static final long BUDGET_HELD_RETRY_AFTER_MS = 250;
-    private static final long STORAGE_RETRY_AFTER_MS = 300;
-
     /**
      * Retry-After if another entry node may succeed, because it has a configuration or can reach
      * storage nodes that this one cannot.
@@ -207,8 +199,13 @@
         private final CallMetadata call;
         private final Route route;
         private final Exchange exchange;
-        private final TargetService target;
-        private final String service;
+        private final RoutingConfiguration configuration;
+
+        /** The service that the request is sent to; that of its origin if it resumes a stream. */
+        private String service;
+
+        /** Writes the answer; null before the request is sent. */
+        private AnswerWriter writer;
 
         RequestHandler(
                 CallerConnection caller,
@@ -226,20 +223,41 @@
             this.call = call;
             this.route = route;
             this.exchange = exchange;
+            this.configuration = configuration;
             this.service = route.selectService(random.getAsDouble());
-            this.target = configuration.service(service);
+        }
+
+        private boolean hasEvents() {
+            return writer != null && writer.hasEvents();
         }
 
         boolean serve(RequestLog.Entry entry) throws InterruptedException {
             entry.service = service;
-            boolean needsReservation = call.hasTokenBudget() && route.kind() == RouteKind.STREAM;
-            if ((needsReservation || route.storesTurns())
+            RequestAdmission admission =
+                    new RequestAdmission(
+                            pool,
+                            ledger,
+                            call,
+                            route,
+                            service,
+                            this::storageTimeoutMs,
+                            this::hasEvents);
+            if ((admission.needsLedger() || route.storesTurns())
                     && !ledger.awaitFirstQuorum(startupWaitMs(call))) {
                 Refusal refusal = Refusal.notRun(OTHER_NODE_RETRY_AFTER_MS, "no quorum of keepers");
                 return refuse(caller, call.requestId(), refusal, closeAfterAnswer, entry);
             }
             Future<ChainOutcome> chain = startChain();
-            Refusal refusal = needsReservation ? reserve(entry) : null;
+            Refusal refusal = null;
+            OriginBinding binding = null;
+            switch (admission.admit(entry)) {
+                case RequestAdmission.Result.Admitted admitted -> {
+                    service = admitted.service();
+                    binding = admitted.binding();
+                }
+                case RequestAdmission.Result.Refused refused -> refusal = refused.refusal();
+            }
+            entry.service = service;
             byte[] body = input;
             if (chain != null) {
                 ChainOutcome chainOutcome = awaitChain(chain);
@@ -254,9 +272,10 @@
                         case ChainOutcome.Uncertain uncertain ->
                                 refusal =
                                         Refusal.notRun(
-                                                STORAGE_RETRY_AFTER_MS, "history not readable");
+                                                RequestAdmission.STORAGE_RETRY_AFTER_MS,
+                                                "history not readable");
                     }
-                    if (refusal != null && needsReservation) {
+                    if (refusal != null && admission.needsTokens()) {
                         settle(0);
                     }
                 }
@@ -264,7 +283,7 @@
             if (refusal != null) {
                 return refuse(caller, call.requestId(), refusal, closeAfterAnswer, entry);
             }
-            return send(body, needsReservation, entry);
+            return send(body, admission.needsTokens(), binding, entry);
         }
 
         private Future<ChainOutcome> startChain() {
@@ -283,32 +302,13 @@
             }
         }
 
-        private Refusal reserve(RequestLog.Entry entry) throws InterruptedException {
-            Reservation reservation =
-                    new Reservation(
-                            call.program(),
-                            call.requestId(),
-                            call.maxOutputTokens(),
-                            call.tokenBudget(),
-                            route.retentionMs());
-            ReserveOutcome outcome = ledger.reserve(reservation, storageTimeoutMs());
-            entry.reservation = outcome.name();
-            return switch (outcome) {
-                case GRANTED -> null;
-                case HELD ->
-                        Refusal.notRun(
-                                BUDGET_HELD_RETRY_AFTER_MS, "budget held by turns under way");
-                case EXHAUSTED -> Refusal.of(402, "token budget is spent");
-                case UNAVAILABLE ->
-                        Refusal.notRun(STORAGE_RETRY_AFTER_MS, "too few keepers answer");
-            };
-        }
-
-        private boolean send(byte[] body, boolean reserved, RequestLog.Entry entry)
+        private boolean send(
+                byte[] body, boolean reserved, OriginBinding binding, RequestLog.Entry entry)
                 throws InterruptedException {
             boolean stream = route.kind() == RouteKind.STREAM;
+            TargetService target = configuration.service(service);
             int tokensPerEvent = target == null ? 1 : target.tokensPerEvent();
-            AnswerWriter writer =
+            writer =
                     new AnswerWriter(caller, closeAfterAnswer, tokensPerEvent, route.storesTurns());
             RunnerSender.OutboundRequest outboundRequest =
                     new RunnerSender.OutboundRequest(
@@ -318,13 +318,21 @@
                             Framing.endToEnd(request.fields()),
                             body,
                             route.priority(),
-                            stream ? expectedTokens() : 1,
+                            stream ? call.estimatedOutputTokens() : 1,
                             call.prompt(),
                             stream,
                             this::storeTurn,
                             RunnerSender.OutboundRequest.NO_HEAD_TIMEOUT);
             RetryLoop loop =
-                    new RetryLoop(pool, sender, route, service, outboundRequest, exchange, writer);
+                    new RetryLoop(
+                            pool,
+                            sender,
+                            route,
+                            service,
+                            outboundRequest,
+                            exchange,
+                            writer,
+                            binding);
             RetryLoop.Outcome outcome = loop.run();
             entry.runner = loop.lastRunner();
             entry.runnerVersion = loop.lastRunnerVersion();
@@ -399,12 +407,6 @@
             return joined.toByteArray();
         }
 
-        private int expectedTokens() {
-            return call.expectedOutputTokens() > 0
-                    ? call.expectedOutputTokens()
-                    : Math.max(1, call.maxOutputTokens() / EXPECTED_OUTPUT_DIVISOR);
-        }
-
         private long storageTimeoutMs() {
             return Math.max(1, exchange.remainingMs() / STORAGE_TIMEOUT_DIVISOR);
         }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.skylarkmast.relay.route.Route;
 import org.skylarkmast.relay.route.RouteKind;
 import org.skylarkmast.relay.runner.Runner;
@@ -46,6 +47,9 @@
     /** Retry-After if a service has no runners; runners register about every second. */
     private static final long NO_RUNNER_RETRY_AFTER_MS = 1000;
 
+    /** Retry-After if a stream cannot be resumed: its caller can start a new one. */
+    private static final long ORIGIN_GONE_RETRY_AFTER_MS = 100;
+
     /** Maximum number of retries of a request that may have run. */
     private static final int MAX_RETRIES = 3;
 
@@ -59,6 +63,7 @@
     private final RunnerSender.OutboundRequest request;
     private final Exchange exchange;
     private final AnswerWriter writer;
+    private final OriginBinding binding;
 
     /** Runners that may have run the request, by incarnation; limited by the route. */
     private final Map<String, Runner> attemptedRunners = new LinkedHashMap<>();
@@ -78,7 +83,8 @@
             String service,
             RunnerSender.OutboundRequest request,
             Exchange exchange,
-            AnswerWriter writer) {
+            AnswerWriter writer,
+            OriginBinding binding) {
         this.pool = pool;
         this.sender = sender;
         this.route = route;
@@ -86,6 +92,7 @@
         this.request = request;
         this.exchange = exchange;
         this.writer = writer;
+        this.binding = binding;
     }
 
     /**
@@ -124,6 +131,9 @@
             }
             Runner runner = chooseRunner();
             if (runner == null) {
+                if (isOriginGone()) {
+                    return originGone(last);
+                }
                 if (hasWaitedTooLongForRunner()) {
                     Refusal refusal =
                             Refusal.notRun(NO_RUNNER_RETRY_AFTER_MS, "no runner is registered");
@@ -214,19 +224,56 @@
         return route.retryable() && retries <= MAX_RETRIES && !exchange.isCancelled();
     }
 
-    private Runner chooseRunner() {
+    /** Whether the stream has begun and no runner that may continue it is left. */
+    private boolean isOriginGone() {
+        return binding.isFixed() && !pool.hasAvailableRunners(service, binding::allows);
+    }
+
+    private Outcome originGone(SendResult last) {
+        String reason = "no runner of the software version that began the stream";
+        if (writer.hasBegun()) {
+            return new Outcome(new SendResult.BrokenOff(reason), null);
+        }
+        Refusal refusal =
+                mayHaveRun()
+                        ? Refusal.mayHaveRun(reason)
+                        : Refusal.notRun(ORIGIN_GONE_RETRY_AFTER_MS, reason);
+        return new Outcome(last, refusal);
+    }
+
+    private Runner chooseRunner() throws InterruptedException {
         attemptedRunners.values().removeIf(runner -> !pool.isRegistered(runner));
         if (attemptedRunners.size() >= route.maxAttempts()) {
             for (Runner runner : attemptedRunners.values()) {
-                if (!excludedIncarnations.contains(runner.incarnation())) {
+                if (!excludedIncarnations.contains(runner.incarnation())
+                        && binding.allows(runner)) {
                     return runner;
                 }
             }
             return null;
         }
-        double failureCostMs = route.retryable() ? RETRY_COST_MS : route.timeoutMs();
+        Runner runner = choose(binding::allows);
+        if (runner != null || binding.isFixed()) {
+            return runner;
+        }
+        Runner ofOtherVersion = choose(_ -> true);
+        return ofOtherVersion != null && binding.rebind(ofOtherVersion) ? ofOtherVersion : null;
+    }
+
+    private Runner choose(Predicate<Runner> eligible) {
         return pool.choose(
-                service, request.units(), request.prompt(), failureCostMs, excludedIncarnations);
+                service,
+                request.units(),
+                request.prompt(),
+                failureCostMs(route),
+                runner ->
+                        !excludedIncarnations.contains(runner.incarnation())
+                                && eligible.test(runner));
+    }
+
+    /** Returns the time that the caller of {@code route} loses if a runner fails the request. */
+    static double failureCostMs(Route route) {
+        return route.retryable() ? RETRY_COST_MS : route.timeoutMs();
     }
 
     /**
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
@@ -3,7 +3,9 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -38,8 +40,11 @@
     private final StorageNodeReachability reachability =
             new StorageNodeReachability(System::nanoTime);
 
-    /** A storage node's answer in either round of a reservation: the program's usages. */
-    private record UsageReport(List<Usage> usages) {}
+    /**
+     * A storage node's answer in either round of a reservation: the program's usages, and in the
+     * first round the origins of the stream that the attempt resumes.
+     */
+    private record UsageReport(List<Usage> usages, Set<StreamOrigin> resumedOrigins) {}
 
     /**
      * @param nearbyAddressPrefix address prefix of the storage nodes in this host's network; these
@@ -58,22 +63,22 @@
     }
 
     @Override
-    public ReserveOutcome reserve(Reservation reservation, long timeoutMs)
+    public ReserveResult reserve(Reservation reservation, long timeoutMs)
             throws InterruptedException {
         long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
-        ReserveOutcome outcome = ReserveOutcome.UNAVAILABLE;
-        while (outcome == ReserveOutcome.UNAVAILABLE) {
-            outcome = tryReserve(reservation);
+        ReserveResult result;
+        while (true) {
+            result = tryReserve(reservation);
             boolean mayRetry = System.nanoTime() - endNs < 0 && reachable();
-            if (outcome != ReserveOutcome.UNAVAILABLE || !mayRetry) {
+            if (result.outcome() != ReserveOutcome.UNAVAILABLE || !mayRetry) {
                 break;
             }
             Thread.sleep(RETRY_DELAY_MS);
         }
-        if (outcome != ReserveOutcome.GRANTED) {
+        if (result.outcome() != ReserveOutcome.GRANTED && !reservation.program().isEmpty()) {
             settle(reservation.program(), reservation.attempt(), 0, reservation.retentionMs());
         }
-        return outcome;
+        return result;
     }
 
     @Override
@@ -135,11 +140,12 @@
         return response;
     }
 
-    private ReserveOutcome tryReserve(Reservation reservation) throws InterruptedException {
+    private ReserveResult tryReserve(Reservation reservation) throws InterruptedException {
         LedgerView view = views.current();
         int memberCount = view.members().size();
+        ReserveResult unavailable = new ReserveResult(ReserveOutcome.UNAVAILABLE, Set.of());
         if (memberCount == 0) {
-            return ReserveOutcome.UNAVAILABLE;
+            return unavailable;
         }
         byte[] body =
                 LedgerCodec.encode(
@@ -148,12 +154,20 @@
                             out.writeUTF(reservation.attempt());
                             out.writeInt(reservation.maxTokens());
                             out.writeLong(reservation.retentionMs());
+                            LedgerCodec.writeOrigins(
+                                    out,
+                                    reservation.origin() == null
+                                            ? Set.of()
+                                            : Set.of(reservation.origin()));
+                            out.writeUTF(reservation.resumedAttempt());
                         });
         List<UsageReport> written =
                 callAll(view, LedgerOperation.RESERVE, body, LedgerClient::readUsageReport, true);
         if (written.size() < view.writeQuorum()) {
-            return ReserveOutcome.UNAVAILABLE;
+            return unavailable;
         }
+        Set<StreamOrigin> resumedOrigins = new HashSet<>();
+        written.forEach(report -> resumedOrigins.addAll(report.resumedOrigins()));
         List<UsageReport> read = written;
         if (written.size() < memberCount) {
             // Without an answer from every storage node, a concurrent reservation may be missing
@@ -169,16 +183,21 @@
                             LedgerClient::readUsageReport,
                             false);
             if (read.size() < view.writeQuorum()) {
-                return ReserveOutcome.UNAVAILABLE;
+                return unavailable;
             }
         }
         List<List<Usage>> reports = read.stream().map(UsageReport::usages).toList();
-        return switch (BudgetRule.decide(
-                reports, reservation.attempt(), reservation.maxTokens(), reservation.budget())) {
-            case GRANTED -> ReserveOutcome.GRANTED;
-            case HELD -> ReserveOutcome.HELD;
-            case EXHAUSTED -> ReserveOutcome.EXHAUSTED;
-        };
+        ReserveOutcome outcome =
+                switch (BudgetRule.decide(
+                        reports,
+                        reservation.attempt(),
+                        reservation.maxTokens(),
+                        reservation.budget())) {
+                    case GRANTED -> ReserveOutcome.GRANTED;
+                    case HELD -> ReserveOutcome.HELD;
+                    case EXHAUSTED -> ReserveOutcome.EXHAUSTED;
+                };
+        return new ReserveResult(outcome, resumedOrigins);
     }
 
     @Override
@@ -392,7 +411,7 @@
     }
 
     private static UsageReport readUsageReport(DataInputStream in) throws IOException {
-        return new UsageReport(LedgerCodec.readUsages(in));
+        return new UsageReport(LedgerCodec.readUsages(in), LedgerCodec.readOrigins(in));
     }
 
     private static ChainPart readPart(DataInputStream in) throws IOException {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerCodec.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerCodec.java
@@ -7,7 +7,10 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** Encodes and decodes ledger messages and log entries in the format of the JDK's data streams. */
 public final class LedgerCodec {
@@ -90,6 +93,32 @@
         return usages;
     }
 
+    /** Writes origins of streams. */
+    public static void writeOrigins(DataOutputStream out, Collection<StreamOrigin> origins)
+            throws IOException {
+        out.writeInt(origins.size());
+        for (StreamOrigin origin : origins) {
+            out.writeUTF(origin.service());
+            out.writeUTF(origin.softwareVersion());
+        }
+    }
+
+    /**
+     * Reads origins of streams. Messages and nodes of earlier releases have none: a message that
+     * ends here is read as an empty set.
+     */
+    public static Set<StreamOrigin> readOrigins(DataInputStream in) throws IOException {
+        Set<StreamOrigin> origins = new HashSet<>();
+        if (in.available() == 0) {
+            return origins;
+        }
+        int count = in.readInt();
+        for (int i = 0; i < count; i++) {
+            origins.add(new StreamOrigin(in.readUTF(), in.readUTF()));
+        }
+        return origins;
+    }
+
     /** Writes a view. */
     public static void writeView(DataOutputStream out, LedgerView view) throws IOException {
         out.writeLong(view.version());
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/TurnLedger.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/TurnLedger.java
@@ -18,12 +18,13 @@
     boolean awaitFirstQuorum(long waitMs) throws InterruptedException;
 
     /**
-     * Reserves tokens for a turn. With any outcome but {@link ReserveOutcome#GRANTED} the
-     * reservation is released.
+     * Reserves tokens for a turn, records where its stream begins and reads where the stream that
+     * it resumes began. With any outcome but {@link ReserveOutcome#GRANTED} the tokens are
+     * released.
      *
      * @param timeoutMs how long to retry while too few storage nodes answer
      */
-    ReserveOutcome reserve(Reservation reservation, long timeoutMs) throws InterruptedException;
+    ReserveResult reserve(Reservation reservation, long timeoutMs) throws InterruptedException;
 
     /** Records the final token count of an attempt; does not block, retries in the background. */
     void settle(String program, String attempt, int tokens, long retentionMs);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/Route.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/Route.java
@@ -43,6 +43,11 @@
         return kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAM && resumable);
     }
 
+    /** Whether requests of this route may be sent to {@code service}. */
+    public boolean sendsTo(String service) {
+        return services.stream().anyMatch(weighted -> weighted.service().equals(service));
+    }
+
     /**
      * Selects the service for a request at random, by weight.
      *
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerDirectory.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerDirectory.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,6 +16,7 @@
 
     private final Map<String, Runner> runners = new HashMap<>();
     private volatile Map<String, List<Runner>> availableByService = Map.of();
+    private volatile Map<String, Set<String>> versionsByService = Map.of();
     private volatile Set<String> incarnations = Set.of();
 
     /** Returns the runners of {@code service} that accept new requests. */
@@ -27,6 +29,15 @@
         return incarnations.contains(incarnation);
     }
 
+    /**
+     * Returns the software version of all registered runners of {@code service}, draining or not;
+     * empty if there are none or they differ.
+     */
+    public Optional<String> commonSoftwareVersion(String service) {
+        Set<String> versions = versionsByService.getOrDefault(service, Set.of());
+        return versions.size() == 1 ? versions.stream().findFirst() : Optional.empty();
+    }
+
     /** Adds or replaces the registration of a runner. */
     public synchronized void put(Runner runner) {
         Runner previous = runners.put(runner.id(), runner);
@@ -47,14 +58,18 @@
 
     private void rebuildIndexes() {
         Map<String, List<Runner>> byService = new HashMap<>();
+        Map<String, Set<String>> versions = new HashMap<>();
         Set<String> registered = new HashSet<>();
         for (Runner runner : runners.values()) {
             registered.add(runner.incarnation());
+            versions.computeIfAbsent(runner.service(), s -> new HashSet<>())
+                    .add(runner.softwareVersion());
             if (!runner.draining()) {
                 byService.computeIfAbsent(runner.service(), s -> new ArrayList<>()).add(runner);
             }
         }
         availableByService = byService;
+        versionsByService = versions;
         incarnations = registered;
     }
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
@@ -4,9 +4,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.skylarkmast.relay.loadreport.RunnerLoadReport;
 
 /**
@@ -33,7 +34,7 @@
      *
      * @param units amount of work: output tokens of a stream, 1 otherwise
      * @param failureCostMs time that the caller loses if the runner fails the request
-     * @param excluded incarnations that are not considered
+     * @param eligible whether a runner is considered
      * @return the chosen runner, or null if none is available
      */
     public Runner choose(
@@ -41,12 +42,12 @@
             double units,
             List<PromptPart> prompt,
             double failureCostMs,
-            Set<String> excluded) {
+            Predicate<Runner> eligible) {
         long nowNs = clockNs.getAsLong();
         List<RunnerCandidate> candidates = new ArrayList<>();
         double meanFleetLoad = meanFleetLoad(service, nowNs);
         for (Runner runner : directory.available(service)) {
-            if (!excluded.contains(runner.incarnation())) {
+            if (eligible.test(runner)) {
                 candidates.add(stats(runner).toCandidate(runner, prompt, meanFleetLoad, nowNs));
             }
         }
@@ -117,6 +118,16 @@
         return !directory.available(service).isEmpty();
     }
 
+    /** Whether any eligible runner of {@code service} accepts new requests. */
+    public boolean hasAvailableRunners(String service, Predicate<Runner> eligible) {
+        return directory.available(service).stream().anyMatch(eligible);
+    }
+
+    /** Returns the software version of all registered runners of a service, if it is the same. */
+    public Optional<String> commonSoftwareVersion(String service) {
+        return directory.commonSoftwareVersion(service);
+    }
+
     /** Whether the runner is still registered, draining or not. */
     public boolean isRegistered(Runner runner) {
         return directory.isRegistered(runner.incarnation());
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordIndex.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordIndex.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import org.skylarkmast.relay.ledger.LedgerCodec;
+import org.skylarkmast.relay.ledger.StreamOrigin;
 import org.skylarkmast.relay.ledger.TurnRecord;
 import org.skylarkmast.relay.ledger.Usage;
 import org.slf4j.Logger;
@@ -33,10 +34,12 @@
 
     private static final int TURN_ENTRY = 1;
     private static final int USAGE_ENTRY = 2;
+    private static final int ORIGIN_ENTRY = 3;
 
     private final LongSupplier wallClockMs;
     private final Map<String, IndexedTurn> turns = new HashMap<>();
     private final Map<String, Program> programs = new HashMap<>();
+    private final Map<String, Origins> originsByAttempt = new HashMap<>();
     private final RecordLog log;
 
     private record IndexedTurn(String previous, RecordLog.Location location, long expiresAtMs) {}
@@ -46,6 +49,18 @@
         long expiresAtMs;
     }
 
+    private static final class Origins {
+        final Set<StreamOrigin> origins = new HashSet<>();
+        long expiresAtMs;
+    }
+
+    /** The origins recorded of an attempt's stream. */
+    public record AttemptOrigins(String attempt, Set<StreamOrigin> origins, long retentionMs) {
+        public AttemptOrigins {
+            origins = Set.copyOf(origins);
+        }
+    }
+
     /** A usage with the program it belongs to. */
     public record ProgramUsage(String program, Usage usage, long retentionMs) {}
 
@@ -131,6 +146,47 @@
         return log.append(entry, durable, expiresAtMs).thenAccept(location -> {});
     }
 
+    /**
+     * Adds an origin of an attempt's stream; the result completes once it is on disk. Origins are
+     * only ever added, so that writes may arrive in any order.
+     */
+    public CompletableFuture<Void> putOrigin(
+            String attempt, StreamOrigin origin, long retentionMs) {
+        long expiresAtMs = expiryMs(retentionMs);
+        synchronized (this) {
+            addOrigin(attempt, origin, expiresAtMs);
+        }
+        byte[] entry =
+                LedgerCodec.encode(
+                        out -> {
+                            out.writeByte(ORIGIN_ENTRY);
+                            out.writeLong(expiresAtMs);
+                            out.writeUTF(attempt);
+                            LedgerCodec.writeOrigins(out, Set.of(origin));
+                        });
+        return log.append(entry, true, expiresAtMs).thenAccept(location -> {});
+    }
+
+    /** Returns the origins recorded of an attempt's stream. */
+    public synchronized Set<StreamOrigin> origins(String attempt) {
+        Origins found = originsByAttempt.get(attempt);
+        return found == null ? Set.of() : Set.copyOf(found.origins);
+    }
+
+    /** Returns all recorded origins, each with its remaining retention. */
+    public synchronized List<AttemptOrigins> allOrigins() {
+        long nowMs = wallClockMs.getAsLong();
+        List<AttemptOrigins> all = new ArrayList<>();
+        originsByAttempt.forEach(
+                (attempt, stored) ->
+                        all.add(
+                                new AttemptOrigins(
+                                        attempt,
+                                        stored.origins,
+                                        remainingMs(stored.expiresAtMs, nowMs))));
+        return all;
+    }
+
     /** Returns the usages of a program. */
     public synchronized List<Usage> usages(String program) {
         Program found = programs.get(program);
@@ -190,8 +246,7 @@
         List<ProgramUsage> all = new ArrayList<>();
         programs.forEach(
                 (name, program) -> {
-                    long remainingMs =
-                            Math.max(0, program.expiresAtMs - nowMs - EXTRA_RETENTION_MS);
+                    long remainingMs = remainingMs(program.expiresAtMs, nowMs);
                     program.usages
                             .values()
                             .forEach(usage -> all.add(new ProgramUsage(name, usage, remainingMs)));
@@ -205,6 +260,7 @@
         synchronized (this) {
             turns.values().removeIf(indexed -> indexed.expiresAtMs() < nowMs);
             programs.values().removeIf(program -> program.expiresAtMs < nowMs);
+            originsByAttempt.values().removeIf(stored -> stored.expiresAtMs < nowMs);
         }
         log.removeExpiredSegments(nowMs);
     }
@@ -247,6 +303,12 @@
                     merge(program, usage, expiresAtMs);
                 }
             }
+            case ORIGIN_ENTRY -> {
+                String attempt = in.readUTF();
+                for (StreamOrigin origin : LedgerCodec.readOrigins(in)) {
+                    addOrigin(attempt, origin, expiresAtMs);
+                }
+            }
             default -> throw new IOException("unknown log entry type " + type);
         }
         return expiresAtMs;
@@ -263,6 +325,16 @@
         return true;
     }
 
+    private void addOrigin(String attempt, StreamOrigin origin, long expiresAtMs) {
+        Origins stored = originsByAttempt.computeIfAbsent(attempt, name -> new Origins());
+        stored.origins.add(origin);
+        stored.expiresAtMs = Math.max(stored.expiresAtMs, expiresAtMs);
+    }
+
+    private static long remainingMs(long expiresAtMs, long nowMs) {
+        return Math.max(0, expiresAtMs - nowMs - EXTRA_RETENTION_MS);
+    }
+
     private long expiryMs(long retentionMs) {
         return wallClockMs.getAsLong() + retentionMs + EXTRA_RETENTION_MS;
     }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordSync.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordSync.java
@@ -12,6 +12,7 @@
 import org.skylarkmast.relay.ledger.LedgerOperation;
 import org.skylarkmast.relay.ledger.LedgerView;
 import org.skylarkmast.relay.ledger.StorageNodeClient;
+import org.skylarkmast.relay.ledger.StreamOrigin;
 import org.skylarkmast.relay.ledger.TurnRecord;
 import org.skylarkmast.relay.ledger.Usage;
 import org.slf4j.Logger;
@@ -39,7 +40,10 @@
         this.storageNodes = storageNodes;
     }
 
-    private record Summary(List<String> turnIds, List<RecordIndex.ProgramUsage> usages) {}
+    private record Summary(
+            List<String> turnIds,
+            List<RecordIndex.ProgramUsage> usages,
+            List<RecordIndex.AttemptOrigins> origins) {}
 
     /**
      * Fetches missing records from the members of {@code view}, and from {@code leaving}, which may
@@ -88,6 +92,7 @@
         for (RecordIndex.ProgramUsage usage : summary.usages()) {
             writes.add(index.putUsage(usage.program(), usage.usage(), usage.retentionMs(), true));
         }
+        summary.origins().forEach(origins -> writes.addAll(putMissing(origins)));
         Set<String> storedIds = index.turnIds();
         List<String> missing = new ArrayList<>(summary.turnIds());
         missing.removeIf(storedIds::contains);
@@ -126,6 +131,17 @@
         return true;
     }
 
+    private List<CompletableFuture<Void>> putMissing(RecordIndex.AttemptOrigins found) {
+        Set<StreamOrigin> stored = index.origins(found.attempt());
+        List<CompletableFuture<Void>> writes = new ArrayList<>();
+        for (StreamOrigin origin : found.origins()) {
+            if (!stored.contains(origin)) {
+                writes.add(index.putOrigin(found.attempt(), origin, found.retentionMs()));
+            }
+        }
+        return writes;
+    }
+
     private List<TurnRecord> fetch(LedgerView.Member source, LedgerView view, List<String> ids) {
         byte[] body =
                 LedgerCodec.encode(
@@ -164,6 +180,14 @@
             Usage usage = LedgerCodec.readUsages(in).getFirst();
             usages.add(new RecordIndex.ProgramUsage(program, usage, in.readLong()));
         }
-        return new Summary(ids, usages);
+        List<RecordIndex.AttemptOrigins> origins = new ArrayList<>();
+        // Storage nodes of earlier releases end the message here.
+        int attempts = in.available() == 0 ? 0 : in.readInt();
+        for (int i = 0; i < attempts; i++) {
+            origins.add(
+                    new RecordIndex.AttemptOrigins(
+                            in.readUTF(), LedgerCodec.readOrigins(in), in.readLong()));
+        }
+        return new Summary(ids, usages, origins);
     }
 }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/StorageNodeHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/StorageNodeHandler.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,7 @@
 import org.skylarkmast.relay.ledger.LedgerOperation;
 import org.skylarkmast.relay.ledger.LedgerView;
 import org.skylarkmast.relay.ledger.StorageNodeClient;
+import org.skylarkmast.relay.ledger.StreamOrigin;
 import org.skylarkmast.relay.ledger.TurnRecord;
 import org.skylarkmast.relay.ledger.Usage;
 import org.skylarkmast.relay.loadreport.LoadReportAggregator;
@@ -155,8 +157,22 @@
     private HttpReply reserve(DataInputStream in) throws IOException {
         String program = in.readUTF();
         Usage usage = new Usage(in.readUTF(), in.readInt(), false);
-        awaitDurable(index.putUsage(program, usage, in.readLong(), true));
-        return reply(out -> LedgerCodec.writeUsages(out, index.usages(program)));
+        long retentionMs = in.readLong();
+        Set<StreamOrigin> origins = LedgerCodec.readOrigins(in);
+        String resumedAttempt = in.available() == 0 ? "" : in.readUTF();
+        List<CompletableFuture<Void>> writes = new ArrayList<>();
+        if (!program.isEmpty()) {
+            writes.add(index.putUsage(program, usage, retentionMs, true));
+        }
+        for (StreamOrigin origin : origins) {
+            writes.add(index.putOrigin(usage.attempt(), origin, retentionMs));
+        }
+        awaitDurable(CompletableFuture.allOf(writes.toArray(new CompletableFuture<?>[0])));
+        return reply(
+                out -> {
+                    LedgerCodec.writeUsages(out, index.usages(program));
+                    LedgerCodec.writeOrigins(out, index.origins(resumedAttempt));
+                });
     }
 
     /**
@@ -199,6 +215,13 @@
             LedgerCodec.writeUsages(out, List.of(usage.usage()));
             out.writeLong(usage.retentionMs());
         }
+        List<RecordIndex.AttemptOrigins> origins = index.allOrigins();
+        out.writeInt(origins.size());
+        for (RecordIndex.AttemptOrigins attemptOrigins : origins) {
+            out.writeUTF(attemptOrigins.attempt());
+            LedgerCodec.writeOrigins(out, attemptOrigins.origins());
+            out.writeLong(attemptOrigins.retentionMs());
+        }
     }
 
     private static void writeChain(DataOutputStream out, RecordIndex.Chain chain)
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetSimulation.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetSimulation.java
@@ -7,7 +7,6 @@
 import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.skylarkmast.relay.loadreport.LoadReportAggregator;
 import org.skylarkmast.relay.loadreport.RunnerLoadReport;
@@ -179,7 +178,7 @@
 
     private void request() {
         RunnerPool pool = pools.get(random.nextInt(ENTRY_NODES));
-        Runner runner = pool.choose("s", TOKENS, List.of(), FAILURE_COST_MS, Set.of());
+        Runner runner = pool.choose("s", TOKENS, List.of(), FAILURE_COST_MS, _ -> true);
         pool.recordStart(runner);
         simulatedRunners.stream()
                 .filter(simulated -> simulated.runner.equals(runner))
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeClusterTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeClusterTest.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -21,6 +22,7 @@
 import org.skylarkmast.relay.ledger.LedgerClient;
 import org.skylarkmast.relay.ledger.Reservation;
 import org.skylarkmast.relay.ledger.ReserveOutcome;
+import org.skylarkmast.relay.ledger.StreamOrigin;
 import org.skylarkmast.relay.ledger.TurnRecord;
 
 /** Tests the ledger while storage nodes are stopped, wiped, added and retired. */
@@ -41,7 +43,7 @@
     }
 
     private static Reservation reservation(String attempt, long budget) {
-        return new Reservation("program", attempt, 100, budget, RETENTION_MS);
+        return new Reservation("program", attempt, 100, budget, RETENTION_MS, null, "");
     }
 
     private static List<String> ids(ChainOutcome outcome) {
@@ -79,9 +81,9 @@
             cluster.stop(stopped);
             assertThat(ids(client.chain("t2", TIMEOUT_MS))).containsExactly("t1", "t2").inOrder();
             assertThat(client.append("", turn("t3", "t2"), 0, TIMEOUT_MS)).isTrue();
-            assertThat(client.reserve(reservation("r1", 150), TIMEOUT_MS))
+            assertThat(client.reserve(reservation("r1", 150), TIMEOUT_MS).outcome())
                     .isEqualTo(ReserveOutcome.GRANTED);
-            assertThat(client.reserve(reservation("r2", 150), TIMEOUT_MS))
+            assertThat(client.reserve(reservation("r2", 150), TIMEOUT_MS).outcome())
                     .isEqualTo(ReserveOutcome.HELD);
         }
     }
@@ -115,6 +117,62 @@
         assertThat(client.reachable()).isTrue();
     }
 
+    private static final StreamOrigin V1 = new StreamOrigin("s", "v1");
+    private static final StreamOrigin V2 = new StreamOrigin("s", "v2");
+
+    private static void recordOrigin(LedgerClient client, String attempt, StreamOrigin origin)
+            throws InterruptedException {
+        Reservation record = Reservation.ofOrigin(attempt, RETENTION_MS, origin);
+        assertThat(client.reserve(record, TIMEOUT_MS).outcome()).isEqualTo(ReserveOutcome.GRANTED);
+    }
+
+    private static Set<StreamOrigin> originsOf(LedgerClient client, String resumedAttempt)
+            throws InterruptedException {
+        Reservation resume =
+                new Reservation("program", "resume", 10, 1000, RETENTION_MS, null, resumedAttempt);
+        return client.reserve(resume, TIMEOUT_MS).resumedOrigins();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"a", "b", "c"})
+    void originOfAStreamIsKnownWithoutTheStorageNodeThatSawItFirst(String stopped)
+            throws Exception {
+        try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
+            cluster.stop(stopped);
+            recordOrigin(cluster.client(), "q1", V1);
+            cluster.restart(stopped);
+            cluster.runAllRounds();
+            cluster.stop(stopped.equals("a") ? "b" : "a");
+            assertThat(originsOf(cluster.client(), "q1")).containsExactly(V1);
+        }
+    }
+
+    @Test
+    void everyOriginThatWasRecordedForAnAttemptIsKept() throws Exception {
+        try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
+            LedgerClient client = cluster.client();
+            recordOrigin(client, "q1", V1);
+            recordOrigin(client, "q1", V2);
+            assertThat(originsOf(client, "q1")).containsExactly(V1, V2);
+            assertThat(originsOf(client, "q2")).isEmpty();
+        }
+    }
+
+    @Test
+    void originsOfStreamsSurviveARestartOfAllStorageNodes() throws Exception {
+        try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
+            recordOrigin(cluster.client(), "q1", V1);
+            for (String node : List.of("a", "b", "c")) {
+                cluster.stop(node);
+            }
+            for (String node : List.of("a", "b", "c")) {
+                cluster.restart(node);
+            }
+            cluster.runAllRounds();
+            assertThat(originsOf(cluster.client(), "q1")).containsExactly(V1);
+        }
+    }
+
     @Test
     void writesFailWithoutAQuorum() throws Exception {
         try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
@@ -122,7 +180,7 @@
             cluster.stop("a");
             cluster.stop("b");
             assertThat(client.append("", turn("t1", ""), 0, NO_RETRY_MS)).isFalse();
-            assertThat(client.reserve(reservation("r1", 1000), NO_RETRY_MS))
+            assertThat(client.reserve(reservation("r1", 1000), NO_RETRY_MS).outcome())
                     .isEqualTo(ReserveOutcome.UNAVAILABLE);
         }
     }
@@ -134,7 +192,7 @@
         try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
             LedgerClient client = cluster.client();
             appendChain(client);
-            assertThat(client.reserve(reservation("r1", 150), TIMEOUT_MS))
+            assertThat(client.reserve(reservation("r1", 150), TIMEOUT_MS).outcome())
                     .isEqualTo(ReserveOutcome.GRANTED);
             for (String wiped : List.of("a", "b", "c")) {
                 cluster.stop(wiped);
@@ -144,7 +202,7 @@
                 assertThat(cluster.voting(wiped)).isTrue();
             }
             assertThat(ids(client.chain("t2", TIMEOUT_MS))).containsExactly("t1", "t2").inOrder();
-            assertThat(client.reserve(reservation("r2", 150), TIMEOUT_MS))
+            assertThat(client.reserve(reservation("r2", 150), TIMEOUT_MS).outcome())
                     .isEqualTo(ReserveOutcome.HELD);
         }
     }
@@ -175,7 +233,7 @@
         try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
             LedgerClient client = cluster.client();
             appendChain(client);
-            assertThat(client.reserve(reservation("r1", 150), TIMEOUT_MS))
+            assertThat(client.reserve(reservation("r1", 150), TIMEOUT_MS).outcome())
                     .isEqualTo(ReserveOutcome.GRANTED);
             for (String node : List.of("a", "b", "c")) {
                 cluster.stop(node);
@@ -184,7 +242,7 @@
                 cluster.restart(node);
             }
             assertThat(ids(client.chain("t2", TIMEOUT_MS))).containsExactly("t1", "t2").inOrder();
-            assertThat(client.reserve(reservation("r2", 150), TIMEOUT_MS))
+            assertThat(client.reserve(reservation("r2", 150), TIMEOUT_MS).outcome())
                     .isEqualTo(ReserveOutcome.HELD);
         }
     }
@@ -236,7 +294,8 @@
             for (int i = 0; i < 8; i++) {
                 LedgerClient client = cluster.client();
                 String attempt = "r" + i;
-                reservations.add(() -> client.reserve(reservation(attempt, 250), TIMEOUT_MS));
+                reservations.add(
+                        () -> client.reserve(reservation(attempt, 250), TIMEOUT_MS).outcome());
             }
             int granted = 0;
             try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
@@ -276,13 +335,13 @@
     void settlingReleasesUnusedTokens() throws Exception {
         try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
             LedgerClient client = cluster.client();
-            assertThat(client.reserve(reservation("r1", 150), TIMEOUT_MS))
+            assertThat(client.reserve(reservation("r1", 150), TIMEOUT_MS).outcome())
                     .isEqualTo(ReserveOutcome.GRANTED);
             assertThat(client.append("program", turn("r1", ""), 40, TIMEOUT_MS)).isTrue();
-            assertThat(client.reserve(reservation("r2", 150), TIMEOUT_MS))
+            assertThat(client.reserve(reservation("r2", 150), TIMEOUT_MS).outcome())
                     .isEqualTo(ReserveOutcome.GRANTED);
             assertThat(client.append("program", turn("r2", ""), 60, TIMEOUT_MS)).isTrue();
-            assertThat(client.reserve(reservation("r3", 150), TIMEOUT_MS))
+            assertThat(client.reserve(reservation("r3", 150), TIMEOUT_MS).outcome())
                     .isEqualTo(ReserveOutcome.EXHAUSTED);
         }
     }
