[relay] Accept streams without length whose events have no ids

Now the events written decide. The platform's events have ids, so no caller there was affected.

Before: EntryNodeStreamTest.streamWithoutLengthAndEventIdsIsComplete failed.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSender.java
@@ -302,10 +302,9 @@
         }
         byte[] remainder = splitter.remainder();
         writer.recordTrailingBytes(remainder.length);
-        // An answer without length ends with its connection, whether or not the runner completed
-        // it.
+        // A runner that fails before its first event ends an answer without length in the same way.
         boolean endsUnmarked = answer.framing() instanceof Framing.UntilClose;
-        if (splitter.isInsideEvent() || (endsUnmarked && writer.lastEventId().isEmpty())) {
+        if (splitter.isInsideEvent() || (endsUnmarked && !writer.hasEvents())) {
             throw new IOException("stream ended inside an event");
         }
         if (remainder.length > 0) {
