[relay] Do not wait for an unreachable ledger to change a stream's version

Before: CallerResumeTest.streamWithoutBudgetDoesNotWaitForAnUnreachableLedger failed (a call to the ledger).

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestAdmission.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestAdmission.java
@@ -165,7 +165,8 @@
     private boolean recordOrigin(StreamOrigin origin) throws InterruptedException {
         Reservation reservation =
                 Reservation.ofOrigin(call.requestId(), route.retentionMs(), origin);
-        return ledger.reserve(reservation, 0).outcome() == ReserveOutcome.GRANTED;
+        return ledger.reachable()
+                && ledger.reserve(reservation, 0).outcome() == ReserveOutcome.GRANTED;
     }
 
     private Result bindToResumed(Set<StreamOrigin> origins) {
