[relay] Log the rate limits that runners state

The logs cannot tell whether a node knows of a limit, keeps it alone, or exceeds it by retries.

Change: the adapter decodes the limit into StatedRateLimit; RunnerRateLimits keeps the last readable one of each incarnation and logs each change; request_ended has the limit of the last runner at the time of the send. Nothing is decided by it yet.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -20,6 +20,7 @@
 import org.skylarkmast.relay.ledger.ChainOutcome;
 import org.skylarkmast.relay.ledger.TurnLedger;
 import org.skylarkmast.relay.ledger.TurnRecord;
+import org.skylarkmast.relay.limit.RunnerRateLimits;
 import org.skylarkmast.relay.route.Route;
 import org.skylarkmast.relay.route.RouteKind;
 import org.skylarkmast.relay.route.RoutingConfiguration;
@@ -53,6 +54,7 @@
 
     private final RoutingState routing;
     private final RunnerPool pool;
+    private final RunnerRateLimits limits;
     private final RunnerSender sender;
     private final WireDialect dialect;
     private final TurnLedger ledger;
@@ -69,6 +71,7 @@
             RoutingState routing,
             RunnerPool pool,
             RunnerConnectionPool connections,
+            RunnerRateLimits limits,
             WireDialect dialect,
             TurnLedger ledger,
             RequestLog requestLog,
@@ -77,7 +80,8 @@
             DoubleSupplier random) {
         this.routing = routing;
         this.pool = pool;
-        this.sender = new RunnerSender(connections, pool, dialect, timers);
+        this.limits = limits;
+        this.sender = new RunnerSender(connections, pool, limits, dialect, timers);
         this.dialect = dialect;
         this.ledger = ledger;
         this.requestLog = requestLog;
@@ -326,6 +330,7 @@
             RetryLoop loop =
                     new RetryLoop(
                             pool,
+                            limits,
                             sender,
                             route,
                             service,
@@ -336,7 +341,9 @@
             RetryLoop.Outcome outcome = loop.run();
             entry.runner = loop.lastRunner();
             entry.runnerVersion = loop.lastRunnerVersion();
+            entry.runnerLimit = loop.lastRunnerLimit();
             entry.sends = loop.sends();
+            requestLog.countSendsToLimitedRunners(loop.sendsToLimitedRunners());
             entry.tokens = writer.tokensWritten();
             entry.framing = writer.runnerFraming();
             entry.trailingBytes = writer.trailingBytes();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.OptionalDouble;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -14,6 +15,7 @@
 
     private final Counter requests;
     private final Counter runnerAnswers;
+    private final Counter sendsToLimitedRunners;
     private final Histogram seconds;
 
     /** The data logged for a request, filled in while it is served. Confined to one thread. */
@@ -25,6 +27,7 @@
         String service = "";
         String runner = "";
         String runnerVersion = "";
+        OptionalDouble runnerLimit = OptionalDouble.empty();
         String resumedRequestId = "";
         String reservation = "";
         String framing = "";
@@ -55,6 +58,11 @@
                         .help("Runners' answers by framing, and whether all events were complete.")
                         .labelNames("framing", "outcome", "ends_inside_event")
                         .register(registry);
+        sendsToLimitedRunners =
+                Counter.builder()
+                        .name("skylarkmast_sends_to_limited_runners_total")
+                        .help("Sends to runners that had stated a rate limit to this node.")
+                        .register(registry);
         seconds =
                 Histogram.builder()
                         .name("skylarkmast_request_seconds")
@@ -65,6 +73,15 @@
                         .register(registry);
     }
 
+    /** Counts the sends of one request to runners that had stated a rate limit. */
+    void countSendsToLimitedRunners(int sends) {
+        sendsToLimitedRunners.inc(sends);
+    }
+
+    private static Object toText(OptionalDouble value) {
+        return value.isPresent() ? value.getAsDouble() : "";
+    }
+
     void logEnd(String outcome, Entry entry) {
         long tookNs = System.nanoTime() - entry.startedNs;
         requests.labelValues(outcome, Integer.toString(entry.status)).inc();
@@ -84,6 +101,7 @@
                 .addKeyValue("service", entry.service)
                 .addKeyValue("runner", entry.runner)
                 .addKeyValue("runnerVersion", entry.runnerVersion)
+                .addKeyValue("runnerLimit", toText(entry.runnerLimit))
                 .addKeyValue("resumes", entry.resumedRequestId)
                 .addKeyValue("sends", entry.sends)
                 .addKeyValue("reservation", entry.reservation)
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
@@ -3,9 +3,11 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.skylarkmast.relay.limit.RunnerRateLimits;
 import org.skylarkmast.relay.route.Route;
 import org.skylarkmast.relay.route.RouteKind;
 import org.skylarkmast.relay.runner.Runner;
@@ -57,6 +59,7 @@
     private static final int MAX_SENDS = 200;
 
     private final RunnerPool pool;
+    private final RunnerRateLimits limits;
     private final RunnerSender sender;
     private final Route route;
     private final String service;
@@ -73,11 +76,14 @@
     private String lastRunner = "";
     private String lastRunnerVersion = "";
     private long overloadBackoffMs = INITIAL_OVERLOAD_BACKOFF_MS;
+    private OptionalDouble lastRunnerLimit = OptionalDouble.empty();
     private int sends;
+    private int sendsToLimitedRunners;
     private int retries;
 
     RetryLoop(
             RunnerPool pool,
+            RunnerRateLimits limits,
             RunnerSender sender,
             Route route,
             String service,
@@ -86,6 +92,7 @@
             AnswerWriter writer,
             OriginBinding binding) {
         this.pool = pool;
+        this.limits = limits;
         this.sender = sender;
         this.route = route;
         this.service = service;
@@ -111,10 +118,19 @@
         return lastRunnerVersion;
     }
 
+    /** The rate limit of the last runner when the request was sent to it, if it had one. */
+    OptionalDouble lastRunnerLimit() {
+        return lastRunnerLimit;
+    }
+
     int sends() {
         return sends;
     }
 
+    int sendsToLimitedRunners() {
+        return sendsToLimitedRunners;
+    }
+
     /** Whether any runner may have run the request. */
     boolean mayHaveRun() {
         return !attemptedRunners.isEmpty();
@@ -148,6 +164,8 @@
             }
             lastRunner = runner.id();
             lastRunnerVersion = runner.softwareVersion();
+            lastRunnerLimit = limits.of(runner);
+            sendsToLimitedRunners += lastRunnerLimit.isPresent() ? 1 : 0;
             last = sender.send(outboundRequest(runner), runner, exchange, writer);
             Outcome outcome = evaluate(last, runner);
             if (outcome != null) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSender.java
@@ -11,6 +11,8 @@
 import org.skylarkmast.relay.http.RunnerAnswer;
 import org.skylarkmast.relay.http.RunnerConnection;
 import org.skylarkmast.relay.http.RunnerConnectionPool;
+import org.skylarkmast.relay.limit.RunnerRateLimits;
+import org.skylarkmast.relay.limit.StatedRateLimit;
 import org.skylarkmast.relay.runner.PromptPart;
 import org.skylarkmast.relay.runner.Runner;
 import org.skylarkmast.relay.runner.RunnerPool;
@@ -44,17 +46,20 @@
 
     private final RunnerConnectionPool connections;
     private final RunnerPool pool;
+    private final RunnerRateLimits limits;
     private final WireDialect dialect;
     private final ScheduledExecutorService timers;
 
     RunnerSender(
             RunnerConnectionPool connections,
             RunnerPool pool,
+            RunnerRateLimits limits,
             WireDialect dialect,
             ScheduledExecutorService timers) {
         this.timers = timers;
         this.connections = connections;
         this.pool = pool;
+        this.limits = limits;
         this.dialect = dialect;
     }
 
@@ -135,7 +140,7 @@
         try {
             writeRequest(request, runner, connection, exchange, writer);
             answer = readHeadInTime(request, connection);
-            dialect.reportedLoad(answer.fields()).ifPresent(load -> pool.recordLoad(runner, load));
+            recordReportedState(request, runner, answer);
             if (dialect.reportsNotRun(answer.status(), answer.fields())) {
                 connection.body(answer).readAllBytes();
                 reusable = true;
@@ -173,6 +178,16 @@
         }
     }
 
+    /** Records what the head of an answer says about the state of its runner. */
+    private void recordReportedState(OutboundRequest request, Runner runner, RunnerAnswer answer) {
+        dialect.reportedLoad(answer.fields()).ifPresent(load -> pool.recordLoad(runner, load));
+        // A misdirected request was answered by another runner.
+        if (answer.status() != MISDIRECTED_REQUEST) {
+            StatedRateLimit stated = dialect.statedRateLimit(answer.fields());
+            limits.record(runner, stated, request.requestId());
+        }
+    }
+
     /** Reads the answer's head; aborts the connection when the head time-out passes. */
     private RunnerAnswer readHeadInTime(OutboundRequest request, RunnerConnection connection)
             throws IOException {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/WireDialect.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/WireDialect.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.skylarkmast.relay.http.HeaderFields;
 import org.skylarkmast.relay.http.MalformedMessageException;
+import org.skylarkmast.relay.limit.StatedRateLimit;
 import org.skylarkmast.relay.runner.RunnerLoad;
 
 /** Translates the header fields that callers and runners use; implemented by adapters. */
@@ -32,6 +33,9 @@
     /** Returns the load that a runner reports with an answer. */
     Optional<RunnerLoad> reportedLoad(HeaderFields runnerFields);
 
+    /** Returns what an answer says about the rate at which its runner accepts requests. */
+    StatedRateLimit statedRateLimit(HeaderFields runnerFields);
+
     /** Returns the fields of an answer to {@code requestId} that the entry node generates. */
     HeaderFields localAnswerFields(String requestId);
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -21,6 +21,7 @@
 import org.skylarkmast.relay.ledger.CurrentView;
 import org.skylarkmast.relay.ledger.LedgerClient;
 import org.skylarkmast.relay.ledger.StorageNodeClient;
+import org.skylarkmast.relay.limit.RunnerRateLimits;
 import org.skylarkmast.relay.loadreport.LoadReporter;
 import org.skylarkmast.relay.mirror.KeyRange;
 import org.skylarkmast.relay.mirror.MirrorClient;
@@ -79,6 +80,7 @@
                                 settings.failureDomain(),
                                 () -> ThreadLocalRandom.current().nextDouble()),
                         System::nanoTime);
+        RunnerRateLimits limits = new RunnerRateLimits();
         AtomicReference<LedgerClient> ledgerReference = new AtomicReference<>();
         // A new view may contain storage nodes that have never been probed.
         views = new CurrentView(view -> executor.execute(() -> ledgerReference.get().probe()));
@@ -94,6 +96,7 @@
                         routing,
                         pool,
                         connections,
+                        limits,
                         dialect,
                         ledger,
                         new RequestLog(registry),
@@ -101,7 +104,7 @@
                         timers,
                         () -> ThreadLocalRandom.current().nextDouble());
         callerServer = new CallerServer(listener, forwarder, routing, timers);
-        startPeriodicTasks(connections, pool, executor, timers);
+        startPeriodicTasks(connections, pool, limits, executor, timers);
         gauge(
                 "skylarkmast_caller_connections",
                 "Open connections of callers.",
@@ -110,6 +113,10 @@
                 "skylarkmast_runner_connections_opened",
                 "Connections opened to runners.",
                 connections::openedCount);
+        gauge(
+                "skylarkmast_runners_limited",
+                "Runners that state a rate limit to this node.",
+                limits::size);
         NodeEndpoints.start(settings.ip(), settings.metricsPort(), registry);
         startReadinessEndpoint(settings.readinessAddress());
         LOG.atInfo()
@@ -121,6 +128,7 @@
     private void startPeriodicTasks(
             RunnerConnectionPool connections,
             RunnerPool pool,
+            RunnerRateLimits limits,
             ExecutorService executor,
             ScheduledExecutorService timers) {
         Runnable housekeeping =
@@ -130,6 +138,7 @@
                             ledger.probe();
                             connections.evictUnusable(directory::isRegistered);
                             pool.removeUnregistered();
+                            limits.retain(directory::isRegistered);
                         });
         LoadReporter reporter =
                 new LoadReporter(settings.node() + "/" + System.nanoTime(), pool, ledger);
--- /dev/null
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/limit/RunnerRateLimitsTest.java
@@ -0,0 +1,60 @@
+package org.skylarkmast.relay.limit;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.skylarkmast.relay.runner.Runner;
+
+class RunnerRateLimitsTest {
+    private static final Runner RUNNER =
+            new Runner("r", "s", "127.0.0.1:1", "here", 4, "v1", false, 1);
+    private static final StatedRateLimit LIMITED = new StatedRateLimit.Limited(2.5);
+    private static final StatedRateLimit UNLIMITED = new StatedRateLimit.Unlimited();
+    private static final StatedRateLimit UNREADABLE = new StatedRateLimit.Unreadable("a few");
+
+    static Stream<Arguments> statements() {
+        return Stream.of(
+                Arguments.of("none", List.of(), OptionalDouble.empty()),
+                Arguments.of("stated", List.of(LIMITED), OptionalDouble.of(2.5)),
+                Arguments.of(
+                        "changed",
+                        List.of(LIMITED, new StatedRateLimit.Limited(0)),
+                        OptionalDouble.of(0)),
+                Arguments.of("withdrawn", List.of(LIMITED, UNLIMITED), OptionalDouble.empty()),
+                Arguments.of("unreadable at first", List.of(UNREADABLE), OptionalDouble.empty()),
+                Arguments.of(
+                        "unreadable later", List.of(LIMITED, UNREADABLE), OptionalDouble.of(2.5)));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("statements")
+    void lastReadableStatementIsInForce(
+            String name, List<StatedRateLimit> statements, OptionalDouble expected) {
+        RunnerRateLimits limits = new RunnerRateLimits();
+        statements.forEach(stated -> limits.record(RUNNER, stated, "q"));
+        assertThat(limits.of(RUNNER)).isEqualTo(expected);
+    }
+
+    static Stream<Arguments> incarnations() {
+        Runner restarted = new Runner("r", "s", "127.0.0.1:1", "here", 4, "v1", false, 2);
+        return Stream.of(
+                Arguments.of("same incarnation", RUNNER, OptionalDouble.of(2.5)),
+                Arguments.of("restarted", restarted, OptionalDouble.empty()));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("incarnations")
+    void limitAppliesToOneIncarnation(String name, Runner runner, OptionalDouble expected) {
+        RunnerRateLimits limits = new RunnerRateLimits();
+        limits.record(RUNNER, LIMITED, "q");
+        limits.retain(RUNNER.incarnation()::equals);
+        assertThat(limits.of(runner)).isEqualTo(expected);
+        limits.retain(incarnation -> false);
+        assertThat(limits.size()).isEqualTo(0);
+    }
+}
