[relay] Keep the rate limit of a runner over all entry nodes

Cause: no node read the limit, and a node that kept it alone would not have helped, since each of six or seven nodes sends to every runner.

Change: a send to a runner with a limit needs a grant. One storage node, chosen by rendezvous hashing, keeps a leaky bucket for the runner and grants the sends of all entry nodes (operation admit); it is soft state. While it does not answer, an entry node sends its equal share, so that no second storage node grants the same limit. Load reports carry what runners stated, so a node knows without an answer of its own. The wait at a limit enters the choice of a runner; a request that all limits deny waits at most its objective (a quarter of it for a new program), and is rejected at once with the time until a runner accepts it otherwise.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -20,7 +20,7 @@
 import org.skylarkmast.relay.ledger.ChainOutcome;
 import org.skylarkmast.relay.ledger.TurnLedger;
 import org.skylarkmast.relay.ledger.TurnRecord;
-import org.skylarkmast.relay.limit.RunnerRateLimits;
+import org.skylarkmast.relay.limit.SendAdmission;
 import org.skylarkmast.relay.route.Route;
 import org.skylarkmast.relay.route.RouteKind;
 import org.skylarkmast.relay.route.RoutingConfiguration;
@@ -54,7 +54,7 @@
 
     private final RoutingState routing;
     private final RunnerPool pool;
-    private final RunnerRateLimits limits;
+    private final SendAdmission admission;
     private final RunnerSender sender;
     private final WireDialect dialect;
     private final TurnLedger ledger;
@@ -71,7 +71,7 @@
             RoutingState routing,
             RunnerPool pool,
             RunnerConnectionPool connections,
-            RunnerRateLimits limits,
+            SendAdmission admission,
             WireDialect dialect,
             TurnLedger ledger,
             RequestLog requestLog,
@@ -80,8 +80,8 @@
             DoubleSupplier random) {
         this.routing = routing;
         this.pool = pool;
-        this.limits = limits;
-        this.sender = new RunnerSender(connections, pool, limits, dialect, timers);
+        this.admission = admission;
+        this.sender = new RunnerSender(connections, pool, admission.limits(), dialect, timers);
         this.dialect = dialect;
         this.ledger = ledger;
         this.requestLog = requestLog;
@@ -330,18 +330,20 @@
             RetryLoop loop =
                     new RetryLoop(
                             pool,
-                            limits,
+                            admission,
                             sender,
                             route,
                             service,
                             outboundRequest,
                             exchange,
                             writer,
-                            binding);
+                            binding,
+                            !call.previousTurn().isEmpty());
             RetryLoop.Outcome outcome = loop.run();
             entry.runner = loop.lastRunner();
             entry.runnerVersion = loop.lastRunnerVersion();
             entry.runnerLimit = loop.lastRunnerLimit();
+            entry.limitDelayMs = loop.limitDelayMs();
             entry.sends = loop.sends();
             requestLog.countSendsToLimitedRunners(loop.sendsToLimitedRunners());
             entry.tokens = writer.tokensWritten();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
@@ -28,6 +28,7 @@
         String runner = "";
         String runnerVersion = "";
         OptionalDouble runnerLimit = OptionalDouble.empty();
+        long limitDelayMs;
         String resumedRequestId = "";
         String reservation = "";
         String framing = "";
@@ -102,6 +103,7 @@
                 .addKeyValue("runner", entry.runner)
                 .addKeyValue("runnerVersion", entry.runnerVersion)
                 .addKeyValue("runnerLimit", toText(entry.runnerLimit))
+                .addKeyValue("limitDelayMs", entry.limitDelayMs)
                 .addKeyValue("resumes", entry.resumedRequestId)
                 .addKeyValue("sends", entry.sends)
                 .addKeyValue("reservation", entry.reservation)
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.skylarkmast.relay.limit.RunnerRateLimits;
+import org.skylarkmast.relay.limit.SendAdmission;
 import org.skylarkmast.relay.route.Route;
 import org.skylarkmast.relay.route.RouteKind;
 import org.skylarkmast.relay.runner.Runner;
@@ -52,6 +53,15 @@
     /** Retry-After if a stream cannot be resumed: its caller can start a new one. */
     private static final long ORIGIN_GONE_RETRY_AFTER_MS = 100;
 
+    /**
+     * Divisor of the latency objective for the time that a request of a new program waits for a
+     * runner at its rate limit. Requests of programs under way wait longer, so they go first.
+     */
+    private static final int NEW_PROGRAM_LIMIT_WAIT_DIVISOR = 4;
+
+    /** Divisor of the remaining time for the time that any request waits for a rate limit. */
+    private static final int LIMIT_WAIT_DIVISOR = 3;
+
     /** Maximum number of retries of a request that may have run. */
     private static final int MAX_RETRIES = 3;
 
@@ -67,6 +77,8 @@
     private final Exchange exchange;
     private final AnswerWriter writer;
     private final OriginBinding binding;
+    private final boolean continuesProgram;
+    private final RateLimitWait rateLimitWait;
 
     /** Runners that may have run the request, by incarnation; limited by the route. */
     private final Map<String, Runner> attemptedRunners = new LinkedHashMap<>();
@@ -81,18 +93,22 @@
     private int sendsToLimitedRunners;
     private int retries;
 
+    /**
+     * @param continuesProgram whether the request belongs to a program that has got answers before
+     */
     RetryLoop(
             RunnerPool pool,
-            RunnerRateLimits limits,
+            SendAdmission admission,
             RunnerSender sender,
             Route route,
             String service,
             RunnerSender.OutboundRequest request,
             Exchange exchange,
             AnswerWriter writer,
-            OriginBinding binding) {
+            OriginBinding binding,
+            boolean continuesProgram) {
         this.pool = pool;
-        this.limits = limits;
+        this.limits = admission.limits();
         this.sender = sender;
         this.route = route;
         this.service = service;
@@ -100,6 +116,9 @@
         this.exchange = exchange;
         this.writer = writer;
         this.binding = binding;
+        this.continuesProgram = continuesProgram;
+        this.rateLimitWait =
+                new RateLimitWait(admission, exchange, this::maxLimitWaitMs, pool::isAvailable);
     }
 
     /**
@@ -123,6 +142,11 @@
         return lastRunnerLimit;
     }
 
+    /** Time that the request waited for rate limits, in ms. */
+    long limitDelayMs() {
+        return rateLimitWait.delayMs();
+    }
+
     int sends() {
         return sends;
     }
@@ -147,15 +171,13 @@
             }
             Runner runner = chooseRunner();
             if (runner == null) {
-                if (isOriginGone()) {
-                    return originGone(last);
-                }
-                if (hasWaitedTooLongForRunner()) {
-                    Refusal refusal =
-                            Refusal.notRun(NO_RUNNER_RETRY_AFTER_MS, "no runner is registered");
-                    return new Outcome(last, refusal);
+                Outcome outcome = withoutRunner(last);
+                if (outcome != null) {
+                    return outcome;
                 }
-                backOff();
+                continue;
+            }
+            if (!rateLimitWait.await(runner)) {
                 continue;
             }
             sends++;
@@ -174,6 +196,39 @@
         }
     }
 
+    /** Returns the outcome if the request gives up, or null if it looks for a runner again. */
+    private Outcome withoutRunner(SendResult last) throws InterruptedException {
+        if (isOriginGone()) {
+            return cannotContinue(
+                    last,
+                    ORIGIN_GONE_RETRY_AFTER_MS,
+                    "no runner of the software version that began the stream");
+        }
+        if (rateLimitWait.isDenied()) {
+            if (rateLimitWait.extend()) {
+                return null;
+            }
+            if (excludedIncarnations.isEmpty() || elapsedMs() >= maxLimitWaitMs()) {
+                return cannotContinue(
+                        last,
+                        rateLimitWait.shortestMs(),
+                        "all available runners are at their rate limits");
+            }
+        }
+        if (hasWaitedTooLongForRunner()) {
+            Refusal refusal = Refusal.notRun(NO_RUNNER_RETRY_AFTER_MS, "no runner is registered");
+            return new Outcome(last, refusal);
+        }
+        backOff();
+        return null;
+    }
+
+    private long maxLimitWaitMs() {
+        long objectiveMs = route.objectiveMs();
+        long waitMs = continuesProgram ? objectiveMs : objectiveMs / NEW_PROGRAM_LIMIT_WAIT_DIVISOR;
+        return Math.max(0, Math.min(waitMs, exchange.remainingMs() / LIMIT_WAIT_DIVISOR));
+    }
+
     private void logResume(Runner runner) {
         LOG.atInfo()
                 .addKeyValue("event", "stream_resumed")
@@ -247,15 +302,13 @@
         return binding.isFixed() && !pool.hasAvailableRunners(service, binding::allows);
     }
 
-    private Outcome originGone(SendResult last) {
-        String reason = "no runner of the software version that began the stream";
+    /** Gives up a request for which there is no runner, as not run where that is certain. */
+    private Outcome cannotContinue(SendResult last, long retryAfterMs, String reason) {
         if (writer.hasBegun()) {
             return new Outcome(new SendResult.BrokenOff(reason), null);
         }
         Refusal refusal =
-                mayHaveRun()
-                        ? Refusal.mayHaveRun(reason)
-                        : Refusal.notRun(ORIGIN_GONE_RETRY_AFTER_MS, reason);
+                mayHaveRun() ? Refusal.mayHaveRun(reason) : Refusal.notRun(retryAfterMs, reason);
         return new Outcome(last, refusal);
     }
 
@@ -263,8 +316,7 @@
         attemptedRunners.values().removeIf(runner -> !pool.isRegistered(runner));
         if (attemptedRunners.size() >= route.maxAttempts()) {
             for (Runner runner : attemptedRunners.values()) {
-                if (!excludedIncarnations.contains(runner.incarnation())
-                        && binding.allows(runner)) {
+                if (!isExcluded(runner) && binding.allows(runner)) {
                     return runner;
                 }
             }
@@ -284,9 +336,12 @@
                 request.units(),
                 request.prompt(),
                 failureCostMs(route),
-                runner ->
-                        !excludedIncarnations.contains(runner.incarnation())
-                                && eligible.test(runner));
+                runner -> !isExcluded(runner) && eligible.test(runner));
+    }
+
+    private boolean isExcluded(Runner runner) {
+        return excludedIncarnations.contains(runner.incarnation())
+                || rateLimitWait.isDenied(runner);
     }
 
     /** Returns the time that the caller of {@code route} loses if a runner fails the request. */
@@ -298,10 +353,13 @@
      * Whether the request, not run so far, has waited its limit and there is no available runner.
      */
     private boolean hasWaitedTooLongForRunner() {
-        long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs);
         return !pool.hasAvailableRunners(service)
                 && !mayHaveRun()
-                && waitedMs >= route.objectiveMs() / NO_RUNNER_WAIT_DIVISOR;
+                && elapsedMs() >= route.objectiveMs() / NO_RUNNER_WAIT_DIVISOR;
+    }
+
+    private long elapsedMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs);
     }
 
     private void backOff() throws InterruptedException {
@@ -309,6 +367,7 @@
         exchange.awaitCancellation(hasRunners ? overloadBackoffMs : NO_RUNNER_BACKOFF_MS);
         overloadBackoffMs = Math.min(MAX_OVERLOAD_BACKOFF_MS, overloadBackoffMs * 2);
         excludedIncarnations.clear();
+        rateLimitWait.clear();
     }
 
     private Refusal timeoutRefusal(SendResult last) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerOperation.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerOperation.java
@@ -23,7 +23,9 @@
     /** Returns recent changes of the key-value service. */
     CHANGES("changes"),
     /** Returns the load reports of the storage node's own entry nodes, for another storage node. */
-    TALLIES("tallies");
+    TALLIES("tallies"),
+    /** Grants or denies an entry node's send to a runner with a rate limit. */
+    ADMIT("admit");
 
     private final String path;
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportAggregator.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportAggregator.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import org.skylarkmast.relay.limit.RateLimitReport;
+import org.skylarkmast.relay.limit.RateLimitReports;
 
 /**
  * Adds up the load reports of entry nodes and the totals of other storage nodes; thread-safe, no
@@ -26,6 +28,9 @@
     /** Age above which a reported number of requests in flight is ignored as out of date. */
     private static final long IN_FLIGHT_MAX_AGE_MS = 3_000;
 
+    /** Age of its last report above which an entry node counts as gone; it reports each second. */
+    private static final long REPORTER_MAX_AGE_MS = 5_000;
+
     /** Time for which a runner or storage node is kept without a new report about or from it. */
     private static final long RETENTION_MS = 60_000;
 
@@ -33,7 +38,9 @@
 
     private final LongSupplier clockNs;
     private final Map<String, RunnerTotals> totalsByIncarnation = new HashMap<>();
-    private final Map<String, PeerReports> reportsByPeer = new HashMap<>();
+    private final Map<String, Long> reportedNsByReporter = new HashMap<>();
+    private final Map<String, PeerTotals> totalsByPeer = new HashMap<>();
+    private final RateLimitReports rateLimits;
 
     private static final class RunnerTotals {
         final Map<String, InFlight> inFlightByReporter = new HashMap<>();
@@ -55,21 +62,27 @@
 
     private record InFlight(int count, long reportedNs) {}
 
-    private record PeerReports(List<RunnerLoadReport> loadReports, long receivedNs) {}
+    private record PeerTotals(LoadReportTotals totals, long receivedNs) {}
 
     /**
      * @param clockNs monotonic clock, in ns
      */
     public LoadReportAggregator(LongSupplier clockNs) {
         this.clockNs = clockNs;
+        this.rateLimits = new RateLimitReports(clockNs);
     }
 
     /**
      * Adds what {@code reporter} observed since its last report, and replaces its numbers of
      * requests in flight.
+     *
+     * @param limits what runners stated to it, or to others, about their rate limits
      */
-    public synchronized void report(String reporter, List<RunnerLoadReport> loadReports) {
+    public synchronized void report(
+            String reporter, List<RunnerLoadReport> loadReports, List<RateLimitReport> limits) {
+        rateLimits.merge(limits);
         long nowNs = clockNs.getAsLong();
+        reportedNsByReporter.put(reporter, nowNs);
         totalsByIncarnation.values().forEach(totals -> totals.inFlightByReporter.remove(reporter));
         for (RunnerLoadReport loadReport : loadReports) {
             RunnerTotals totals =
@@ -97,41 +110,46 @@
     /**
      * Replaces the totals received from another storage node, which cover its own reporters only.
      */
-    public synchronized void putPeerReports(
-            String storageNode, List<RunnerLoadReport> loadReports) {
-        reportsByPeer.put(
-                storageNode, new PeerReports(List.copyOf(loadReports), clockNs.getAsLong()));
+    public synchronized void putPeerTotals(String storageNode, LoadReportTotals totals) {
+        rateLimits.merge(totals.rateLimits());
+        totalsByPeer.put(storageNode, new PeerTotals(totals, clockNs.getAsLong()));
     }
 
     /** Returns the totals of the reporters of this storage node. */
-    public synchronized List<RunnerLoadReport> localTotals() {
+    public synchronized LoadReportTotals localTotals() {
         long nowNs = clockNs.getAsLong();
+        reportedNsByReporter
+                .values()
+                .removeIf(reportedNs -> ageMs(reportedNs, nowNs) > REPORTER_MAX_AGE_MS);
         List<RunnerLoadReport> localReports = new ArrayList<>(totalsByIncarnation.size());
         totalsByIncarnation.forEach(
                 (incarnation, totals) ->
                         localReports.add(toLoadReport(incarnation, totals, nowNs)));
-        return localReports;
+        return new LoadReportTotals(localReports, reportedNsByReporter.size(), rateLimits.newest());
     }
 
     /**
      * Returns the totals of all reporters: those of this storage node, and those that other storage
      * nodes have sent.
      */
-    public synchronized List<RunnerLoadReport> fleetTotals() {
+    public synchronized LoadReportTotals fleetTotals() {
         long nowNs = clockNs.getAsLong();
-        reportsByPeer.values().removeIf(peer -> ageMs(peer.receivedNs(), nowNs) > RETENTION_MS);
+        totalsByPeer.values().removeIf(peer -> ageMs(peer.receivedNs(), nowNs) > RETENTION_MS);
         Map<String, RunnerLoadReport> merged = new HashMap<>();
-        localTotals().forEach(loadReport -> merged.put(loadReport.incarnation(), loadReport));
-        for (PeerReports peer : reportsByPeer.values()) {
+        LoadReportTotals local = localTotals();
+        local.runners().forEach(loadReport -> merged.put(loadReport.incarnation(), loadReport));
+        int entryNodes = local.entryNodes();
+        for (PeerTotals peer : totalsByPeer.values()) {
             double ageMs = ageMs(peer.receivedNs(), nowNs);
-            for (RunnerLoadReport loadReport : peer.loadReports()) {
+            entryNodes += ageMs > REPORTER_MAX_AGE_MS ? 0 : peer.totals().entryNodes();
+            for (RunnerLoadReport loadReport : peer.totals().runners()) {
                 merged.merge(
                         loadReport.incarnation(),
                         decayed(loadReport, ageMs),
                         LoadReportAggregator::add);
             }
         }
-        return List.copyOf(merged.values());
+        return new LoadReportTotals(List.copyOf(merged.values()), entryNodes, local.rateLimits());
     }
 
     private static RunnerLoadReport toLoadReport(
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportCodec.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportCodec.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.skylarkmast.relay.limit.RateLimitReport;
 
 /** Encodes and decodes load reports in the binary format of the JDK's data streams. */
 public final class LoadReportCodec {
@@ -41,10 +42,7 @@
      *     #MAX_LOAD_REPORTS}
      */
     public static List<RunnerLoadReport> read(DataInputStream in) throws IOException {
-        int count = in.readInt();
-        if (count < 0 || count > MAX_LOAD_REPORTS) {
-            throw new IOException("load report count out of range: " + count);
-        }
+        int count = readCount(in);
         List<RunnerLoadReport> loadReports = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             loadReports.add(
@@ -58,4 +56,57 @@
         }
         return loadReports;
     }
+
+    /** Writes totals. */
+    public static void writeTotals(DataOutputStream out, LoadReportTotals totals)
+            throws IOException {
+        write(out, totals.runners());
+        out.writeInt(totals.entryNodes());
+        writeRateLimits(out, totals.rateLimits());
+    }
+
+    /**
+     * Reads totals; storage nodes of an earlier release send those of runners only.
+     *
+     * @throws IOException as {@link #read}
+     */
+    public static LoadReportTotals readTotals(DataInputStream in) throws IOException {
+        List<RunnerLoadReport> runners = read(in);
+        return in.available() == 0
+                ? new LoadReportTotals(runners, 0, List.of())
+                : new LoadReportTotals(runners, in.readInt(), readRateLimits(in));
+    }
+
+    /** Writes what runners stated about their rate limits. */
+    public static void writeRateLimits(DataOutputStream out, List<RateLimitReport> rateLimits)
+            throws IOException {
+        out.writeInt(rateLimits.size());
+        for (RateLimitReport rateLimit : rateLimits) {
+            out.writeUTF(rateLimit.incarnation());
+            out.writeDouble(rateLimit.requestsPerSecond());
+            out.writeLong(rateLimit.ageMs());
+        }
+    }
+
+    /**
+     * Reads what runners stated about their rate limits; nodes of an earlier release send none.
+     *
+     * @throws IOException if the data ends early or the count is out of range
+     */
+    public static List<RateLimitReport> readRateLimits(DataInputStream in) throws IOException {
+        int count = in.available() == 0 ? 0 : readCount(in);
+        List<RateLimitReport> rateLimits = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            rateLimits.add(new RateLimitReport(in.readUTF(), in.readDouble(), in.readLong()));
+        }
+        return rateLimits;
+    }
+
+    private static int readCount(DataInputStream in) throws IOException {
+        int count = in.readInt();
+        if (count < 0 || count > MAX_LOAD_REPORTS) {
+            throw new IOException("load report count out of range: " + count);
+        }
+        return count;
+    }
 }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportExchange.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportExchange.java
@@ -1,6 +1,5 @@
 package org.skylarkmast.relay.loadreport;
 
-import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.skylarkmast.relay.ledger.LedgerOperation;
@@ -38,16 +37,16 @@
     }
 
     private void fetch(LedgerView view, LedgerView.Member member) {
-        List<RunnerLoadReport> loadReports =
+        LoadReportTotals totals =
                 storageNodes.call(
                         member,
                         view.version(),
                         LedgerOperation.TALLIES,
                         NO_BODY,
                         CALL_TIMEOUT_MS,
-                        LoadReportCodec::read);
-        if (loadReports != null) {
-            aggregator.putPeerReports(member.node(), loadReports);
+                        LoadReportCodec::readTotals);
+        if (totals != null) {
+            aggregator.putPeerTotals(member.node(), totals);
         }
     }
 }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReporter.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReporter.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.IntConsumer;
 import org.skylarkmast.relay.ledger.LedgerClient;
 import org.skylarkmast.relay.ledger.LedgerCodec;
 import org.skylarkmast.relay.ledger.LedgerOperation;
+import org.skylarkmast.relay.limit.RunnerRateLimits;
 import org.skylarkmast.relay.runner.RunnerPool;
 
 /**
@@ -17,16 +19,26 @@
 
     private final String reporter;
     private final RunnerPool pool;
+    private final RunnerRateLimits rateLimits;
     private final LedgerClient ledger;
+    private final IntConsumer entryNodes;
     private final AtomicBoolean reporting = new AtomicBoolean();
 
     /**
      * @param reporter name of this process, different from that of any earlier process on the host
+     * @param entryNodes receives the number of entry nodes that report, 0 if unknown
      */
-    public LoadReporter(String reporter, RunnerPool pool, LedgerClient ledger) {
+    public LoadReporter(
+            String reporter,
+            RunnerPool pool,
+            RunnerRateLimits rateLimits,
+            LedgerClient ledger,
+            IntConsumer entryNodes) {
         this.reporter = reporter;
         this.pool = pool;
+        this.rateLimits = rateLimits;
         this.ledger = ledger;
+        this.entryNodes = entryNodes;
     }
 
     /**
@@ -46,12 +58,18 @@
                             out -> {
                                 out.writeUTF(reporter);
                                 LoadReportCodec.write(out, observed);
+                                LoadReportCodec.writeRateLimits(out, rateLimits.reports());
                             });
-            List<RunnerLoadReport> totals =
+            LoadReportTotals totals =
                     ledger.callNearest(
-                            LedgerOperation.REPORT, body, CALL_TIMEOUT_MS, LoadReportCodec::read);
+                            LedgerOperation.REPORT,
+                            body,
+                            CALL_TIMEOUT_MS,
+                            LoadReportCodec::readTotals);
             if (totals != null) {
-                pool.applyFleetReports(totals, observed);
+                entryNodes.accept(totals.entryNodes());
+                rateLimits.apply(totals.rateLimits());
+                pool.applyFleetReports(totals.runners(), observed);
             }
         } finally {
             reporting.set(false);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.skylarkmast.core.store.KeyValueStore;
 import org.skylarkmast.http.HttpClient;
@@ -22,6 +23,9 @@
 import org.skylarkmast.relay.ledger.LedgerClient;
 import org.skylarkmast.relay.ledger.StorageNodeClient;
 import org.skylarkmast.relay.limit.RunnerRateLimits;
+import org.skylarkmast.relay.limit.SendAdmission;
+import org.skylarkmast.relay.limit.SendRateLimiter;
+import org.skylarkmast.relay.limit.StorageNodeGrantClient;
 import org.skylarkmast.relay.loadreport.LoadReporter;
 import org.skylarkmast.relay.mirror.KeyRange;
 import org.skylarkmast.relay.mirror.MirrorClient;
@@ -58,6 +62,7 @@
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final CallerServer callerServer;
     private final LedgerClient ledger;
+    private final AtomicInteger entryNodeCount = new AtomicInteger();
     private volatile boolean draining;
 
     /**
@@ -73,14 +78,6 @@
         ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
         ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
         RunnerConnectionPool connections = new RunnerConnectionPool();
-        RunnerPool pool =
-                new RunnerPool(
-                        directory,
-                        new RunnerChooser(
-                                settings.failureDomain(),
-                                () -> ThreadLocalRandom.current().nextDouble()),
-                        System::nanoTime);
-        RunnerRateLimits limits = new RunnerRateLimits();
         AtomicReference<LedgerClient> ledgerReference = new AtomicReference<>();
         // A new view may contain storage nodes that have never been probed.
         views = new CurrentView(view -> executor.execute(() -> ledgerReference.get().probe()));
@@ -91,12 +88,21 @@
                         views::offer);
         ledger = new LedgerClient(views, storageNodes, networkOf(settings.ip()), executor);
         ledgerReference.set(ledger);
+        SendAdmission admission = createAdmission(storageNodes);
+        RunnerPool pool =
+                new RunnerPool(
+                        directory,
+                        new RunnerChooser(
+                                settings.failureDomain(),
+                                () -> ThreadLocalRandom.current().nextDouble()),
+                        admission::expectedWaitMs,
+                        System::nanoTime);
         Forwarder forwarder =
                 new Forwarder(
                         routing,
                         pool,
                         connections,
-                        limits,
+                        admission,
                         dialect,
                         ledger,
                         new RequestLog(registry),
@@ -104,7 +110,28 @@
                         timers,
                         () -> ThreadLocalRandom.current().nextDouble());
         callerServer = new CallerServer(listener, forwarder, routing, timers);
-        startPeriodicTasks(connections, pool, limits, executor, timers);
+        startPeriodicTasks(connections, pool, admission, executor, timers);
+        registerGauges(connections, admission);
+        NodeEndpoints.start(settings.ip(), settings.metricsPort(), registry);
+        startReadinessEndpoint(settings.readinessAddress());
+        LOG.atInfo()
+                .addKeyValue("event", "entry_node_started")
+                .addKeyValue("settings", settings)
+                .log();
+    }
+
+    private SendAdmission createAdmission(StorageNodeClient storageNodes) {
+        return new SendAdmission(
+                new RunnerRateLimits(System::nanoTime),
+                new StorageNodeGrantClient(views::current, storageNodes, System::nanoTime),
+                new SendRateLimiter(
+                        System::nanoTime, 0, () -> ThreadLocalRandom.current().nextDouble()),
+                entryNodeCount::get,
+                System::nanoTime,
+                registry);
+    }
+
+    private void registerGauges(RunnerConnectionPool connections, SendAdmission admission) {
         gauge(
                 "skylarkmast_caller_connections",
                 "Open connections of callers.",
@@ -116,19 +143,13 @@
         gauge(
                 "skylarkmast_runners_limited",
                 "Runners that state a rate limit to this node.",
-                limits::size);
-        NodeEndpoints.start(settings.ip(), settings.metricsPort(), registry);
-        startReadinessEndpoint(settings.readinessAddress());
-        LOG.atInfo()
-                .addKeyValue("event", "entry_node_started")
-                .addKeyValue("settings", settings)
-                .log();
+                () -> admission.limits().limitedCount());
     }
 
     private void startPeriodicTasks(
             RunnerConnectionPool connections,
             RunnerPool pool,
-            RunnerRateLimits limits,
+            SendAdmission admission,
             ExecutorService executor,
             ScheduledExecutorService timers) {
         Runnable housekeeping =
@@ -138,10 +159,15 @@
                             ledger.probe();
                             connections.evictUnusable(directory::isRegistered);
                             pool.removeUnregistered();
-                            limits.retain(directory::isRegistered);
+                            admission.retain(directory::isRegistered);
                         });
         LoadReporter reporter =
-                new LoadReporter(settings.node() + "/" + System.nanoTime(), pool, ledger);
+                new LoadReporter(
+                        settings.node() + "/" + System.nanoTime(),
+                        pool,
+                        admission.limits(),
+                        ledger,
+                        entryNodeCount::set);
         Runnable report = logged("report_failed", reporter::report);
         var _ =
                 timers.scheduleWithFixedDelay(
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
@@ -13,6 +13,7 @@
 import org.skylarkmast.relay.ledger.CurrentView;
 import org.skylarkmast.relay.ledger.LedgerView;
 import org.skylarkmast.relay.ledger.StorageNodeClient;
+import org.skylarkmast.relay.limit.SendRateLimiter;
 import org.skylarkmast.relay.loadreport.LoadReportAggregator;
 import org.skylarkmast.relay.loadreport.LoadReportExchange;
 import org.skylarkmast.relay.mirror.KeyRange;
@@ -44,6 +45,12 @@
     /** Load report totals are exchanged every second, as often as entry nodes report. */
     private static final int ROUNDS_PER_LOAD_EXCHANGE = 2;
 
+    /**
+     * Sends to a runner that may precede the times that its rate limit sets; without any, half of
+     * the limit would be unused at random arrivals.
+     */
+    private static final int SEND_BURST_REQUESTS = 2;
+
     private final Semaphore wakeUps = new Semaphore(0);
     private final CurrentView views = new CurrentView(view -> wakeUps.release());
     private final LoadReportAggregator loadReports = new LoadReportAggregator(System::nanoTime);
@@ -99,7 +106,14 @@
                         settings.ip(),
                         settings.internalPort(),
                         MAX_BODY_BYTES,
-                        new StorageNodeHandler(index, membership, views, loadReports, mirror));
+                        new StorageNodeHandler(
+                                index,
+                                membership,
+                                views,
+                                loadReports,
+                                mirror,
+                                new SendRateLimiter(
+                                        System::nanoTime, SEND_BURST_REQUESTS, () -> 0)));
         LOG.atInfo()
                 .addKeyValue("event", "keeper_node_started")
                 .addKeyValue("settings", settings)
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerCandidate.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerCandidate.java
@@ -9,6 +9,8 @@
  * @param msPerUnit estimated time for a unit of work in ms, or 0 if nothing is known
  * @param cachedTokens estimated number of tokens of the prompt that it has cached
  * @param failureRate estimated fraction of requests that it fails, between 0 and 1
+ * @param sendWaitMs expected time in ms until it accepts another request at its rate limit, 0
+ *     without a limit
  * @param ejected whether it is temporarily ejected after failures; such a runner is used only if
  *     all others are ejected too
  */
@@ -19,4 +21,5 @@
         double msPerUnit,
         int cachedTokens,
         double failureRate,
+        double sendWaitMs,
         boolean ejected) {}
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerChooser.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerChooser.java
@@ -15,6 +15,7 @@
  *   <li>Bursts: a runner without a free slot is charged queueing time in proportion to its queue.
  *   <li>Runners that fail some of their requests: the failure rate times the cost of a failure is
  *       added.
+ *   <li>Runners at their rate limit: the time until they accept another request is added.
  * </ul>
  *
  * <p>Many entry nodes share the same runners. Only runners that recently reported their load to
@@ -123,7 +124,13 @@
                         ? 0
                         : CROSS_DOMAIN_ROUND_TRIP_MS;
         double expectedFailureMs = candidate.failureRate() * request.failureCostMs();
-        double score = workMs * slowdown + queueMs + prefillMs + networkMs + expectedFailureMs;
+        double score =
+                workMs * slowdown
+                        + queueMs
+                        + prefillMs
+                        + networkMs
+                        + expectedFailureMs
+                        + candidate.sendWaitMs();
         return score * (1 + SCORE_NOISE * random.getAsDouble());
     }
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import org.skylarkmast.relay.loadreport.RunnerLoadReport;
 
 /**
@@ -19,13 +20,25 @@
 
     private final RunnerDirectory directory;
     private final RunnerChooser chooser;
+    private final ToDoubleFunction<Runner> sendWaitMs;
     private final LongSupplier clockNs;
     private final Map<String, RunnerStats> statsByIncarnation = new ConcurrentHashMap<>();
 
-    /** Creates a pool without any statistics. */
-    public RunnerPool(RunnerDirectory directory, RunnerChooser chooser, LongSupplier clockNs) {
+    /**
+     * Creates a pool without any statistics.
+     *
+     * @param sendWaitMs expected time in ms until a runner accepts another request at its rate
+     *     limit, 0 without a limit
+     * @param clockNs monotonic clock, in ns
+     */
+    public RunnerPool(
+            RunnerDirectory directory,
+            RunnerChooser chooser,
+            ToDoubleFunction<Runner> sendWaitMs,
+            LongSupplier clockNs) {
         this.directory = directory;
         this.chooser = chooser;
+        this.sendWaitMs = sendWaitMs;
         this.clockNs = clockNs;
     }
 
@@ -48,7 +61,14 @@
         double meanFleetLoad = meanFleetLoad(service, nowNs);
         for (Runner runner : directory.available(service)) {
             if (eligible.test(runner)) {
-                candidates.add(stats(runner).toCandidate(runner, prompt, meanFleetLoad, nowNs));
+                candidates.add(
+                        stats(runner)
+                                .toCandidate(
+                                        runner,
+                                        prompt,
+                                        meanFleetLoad,
+                                        sendWaitMs.applyAsDouble(runner),
+                                        nowNs));
             }
         }
         int promptTokens = 0;
@@ -118,6 +138,11 @@
         return !directory.available(service).isEmpty();
     }
 
+    /** Whether the runner is registered and accepts new requests. */
+    public boolean isAvailable(Runner runner) {
+        return directory.available(runner.service()).contains(runner);
+    }
+
     /** Whether any eligible runner of {@code service} accepts new requests. */
     public boolean hasAvailableRunners(String service, Predicate<Runner> eligible) {
         return directory.available(service).stream().anyMatch(eligible);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerStats.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerStats.java
@@ -165,9 +165,14 @@
      * Returns this runner with its estimates for a request with {@code prompt}.
      *
      * @param meanFleetLoad mean number of requests in flight to a runner of the service
+     * @param sendWaitMs expected time until the runner accepts another request at its rate limit
      */
     synchronized RunnerCandidate toCandidate(
-            Runner runner, List<PromptPart> prompt, double meanFleetLoad, long nowNs) {
+            Runner runner,
+            List<PromptPart> prompt,
+            double meanFleetLoad,
+            double sendWaitMs,
+            long nowNs) {
         int cachedTokens = 0;
         for (PromptPart part : prompt) {
             if (!cachedParts.containsKey(part.id())) {
@@ -183,6 +188,7 @@
                 estimatedMsPerUnit(nowNs),
                 cachedTokens,
                 failureRate(nowNs),
+                sendWaitMs,
                 ejected);
     }
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/StorageNodeHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/StorageNodeHandler.java
@@ -22,8 +22,12 @@
 import org.skylarkmast.relay.ledger.StreamOrigin;
 import org.skylarkmast.relay.ledger.TurnRecord;
 import org.skylarkmast.relay.ledger.Usage;
+import org.skylarkmast.relay.limit.SendGrant;
+import org.skylarkmast.relay.limit.SendGrantCodec;
+import org.skylarkmast.relay.limit.SendRateLimiter;
 import org.skylarkmast.relay.loadreport.LoadReportAggregator;
 import org.skylarkmast.relay.loadreport.LoadReportCodec;
+import org.skylarkmast.relay.loadreport.RunnerLoadReport;
 import org.skylarkmast.relay.mirror.MirrorChanges;
 import org.skylarkmast.relay.mirror.MirrorCodec;
 import org.skylarkmast.relay.mirror.MirrorExchange;
@@ -47,6 +51,7 @@
     private final CurrentView views;
     private final LoadReportAggregator loadReports;
     private final MirrorExchange mirror;
+    private final SendRateLimiter sendLimiter;
 
     /** Creates a handler over {@code index}. */
     public StorageNodeHandler(
@@ -54,12 +59,14 @@
             QuorumMembership membership,
             CurrentView views,
             LoadReportAggregator loadReports,
-            MirrorExchange mirror) {
+            MirrorExchange mirror,
+            SendRateLimiter sendLimiter) {
         this.index = index;
         this.membership = membership;
         this.views = views;
         this.loadReports = loadReports;
         this.mirror = mirror;
+        this.sendLimiter = sendLimiter;
     }
 
     @Override
@@ -80,7 +87,7 @@
                 return LedgerCodec.decode(call.body(), this::changes);
             }
             if (operation == LedgerOperation.TALLIES) {
-                return reply(out -> LoadReportCodec.write(out, loadReports.localTotals()));
+                return reply(out -> LoadReportCodec.writeTotals(out, loadReports.localTotals()));
             }
             long version = Long.parseLong(call.query().getOrDefault("view", "0"));
             LedgerView view = views.current();
@@ -106,6 +113,7 @@
             case SUMMARY, FETCH -> membership.initialSyncDone();
             case RESERVE, USAGE, SETTLE, APPEND, CHAIN, PING, REPORT, TALLIES, CHANGES ->
                     membership.voting();
+            case ADMIT -> true;
         };
     }
 
@@ -132,6 +140,10 @@
             }
             case SUMMARY -> reply(this::writeSummary);
             case FETCH -> fetch(in);
+            case ADMIT -> {
+                SendGrant grant = sendLimiter.decide(SendGrantCodec.readRequest(in));
+                yield reply(out -> SendGrantCodec.writeGrant(out, grant));
+            }
             // Handled before the view is checked.
             case PING, REPORT, TALLIES, CHANGES ->
                     throw new IllegalStateException(
@@ -150,8 +162,10 @@
     }
 
     private HttpReply report(DataInputStream in) throws IOException {
-        loadReports.report(in.readUTF(), LoadReportCodec.read(in));
-        return reply(out -> LoadReportCodec.write(out, loadReports.fleetTotals()));
+        String reporter = in.readUTF();
+        List<RunnerLoadReport> observed = LoadReportCodec.read(in);
+        loadReports.report(reporter, observed, LoadReportCodec.readRateLimits(in));
+        return reply(out -> LoadReportCodec.writeTotals(out, loadReports.fleetTotals()));
     }
 
     private HttpReply reserve(DataInputStream in) throws IOException {
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/limit/RunnerRateLimitsTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/limit/RunnerRateLimitsTest.java
@@ -17,6 +17,8 @@
     private static final StatedRateLimit UNLIMITED = new StatedRateLimit.Unlimited();
     private static final StatedRateLimit UNREADABLE = new StatedRateLimit.Unreadable("a few");
 
+    private long nowNs;
+
     static Stream<Arguments> statements() {
         return Stream.of(
                 Arguments.of("none", List.of(), OptionalDouble.empty()),
@@ -35,7 +37,7 @@
     @MethodSource("statements")
     void lastReadableStatementIsInForce(
             String name, List<StatedRateLimit> statements, OptionalDouble expected) {
-        RunnerRateLimits limits = new RunnerRateLimits();
+        RunnerRateLimits limits = new RunnerRateLimits(() -> nowNs);
         statements.forEach(stated -> limits.record(RUNNER, stated, "q"));
         assertThat(limits.of(RUNNER)).isEqualTo(expected);
     }
@@ -50,11 +52,45 @@
     @ParameterizedTest(name = "{0}")
     @MethodSource("incarnations")
     void limitAppliesToOneIncarnation(String name, Runner runner, OptionalDouble expected) {
-        RunnerRateLimits limits = new RunnerRateLimits();
+        RunnerRateLimits limits = new RunnerRateLimits(() -> nowNs);
         limits.record(RUNNER, LIMITED, "q");
         limits.retain(RUNNER.incarnation()::equals);
         assertThat(limits.of(runner)).isEqualTo(expected);
         limits.retain(incarnation -> false);
-        assertThat(limits.size()).isEqualTo(0);
+        assertThat(limits.reports()).isEmpty();
+    }
+
+    static Stream<Arguments> reports() {
+        RateLimitReport older = new RateLimitReport(RUNNER.incarnation(), 9, 500);
+        RateLimitReport newer = new RateLimitReport(RUNNER.incarnation(), 7, 100);
+        RateLimitReport withdrawal =
+                new RateLimitReport(RUNNER.incarnation(), RateLimitReport.WITHDRAWN, 100);
+        return Stream.of(
+                Arguments.of("unknown here", List.of(), List.of(older), OptionalDouble.of(9)),
+                Arguments.of(
+                        "newest of two", List.of(), List.of(newer, older), OptionalDouble.of(7)),
+                Arguments.of("older", List.of(LIMITED), List.of(older), OptionalDouble.of(2.5)),
+                Arguments.of("newer", List.of(LIMITED), List.of(newer), OptionalDouble.of(7)),
+                Arguments.of(
+                        "withdrawn", List.of(LIMITED), List.of(withdrawal), OptionalDouble.empty()),
+                Arguments.of(
+                        "withdrawn here since",
+                        List.of(LIMITED, UNLIMITED),
+                        List.of(older),
+                        OptionalDouble.empty()));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("reports")
+    void newerStatementOfAnotherNodeIsInForce(
+            String name,
+            List<StatedRateLimit> statements,
+            List<RateLimitReport> reports,
+            OptionalDouble expected) {
+        RunnerRateLimits limits = new RunnerRateLimits(() -> nowNs);
+        statements.forEach(stated -> limits.record(RUNNER, stated, "q"));
+        nowNs += 300_000_000;
+        limits.apply(reports);
+        assertThat(limits.of(RUNNER)).isEqualTo(expected);
     }
 }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/loadreport/LoadReportAggregatorTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/loadreport/LoadReportAggregatorTest.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.skylarkmast.relay.ledger.LedgerCodec;
+import org.skylarkmast.relay.limit.RateLimitReport;
 
 /** Tests adding up load reports about a runner, their decay and expiry, and their encoding. */
 class LoadReportAggregatorTest {
@@ -24,53 +25,53 @@
     void addsUpReportersAndOtherStorageNodes() {
         LoadReportAggregator here = aggregator();
         LoadReportAggregator there = aggregator();
-        here.report("a", List.of(loadReport(2, 100, 4, 1)));
-        here.report("b", List.of(loadReport(1, 60, 2, 0)));
-        there.report("c", List.of(loadReport(3, 200, 4, 3)));
-        here.putPeerReports("there", there.localTotals());
-        RunnerLoadReport total = here.fleetTotals().getFirst();
+        here.report("a", List.of(loadReport(2, 100, 4, 1)), List.of());
+        here.report("b", List.of(loadReport(1, 60, 2, 0)), List.of());
+        there.report("c", List.of(loadReport(3, 200, 4, 3)), List.of());
+        here.putPeerTotals("there", there.localTotals());
+        RunnerLoadReport total = here.fleetTotals().runners().getFirst();
         assertThat(total.inFlight()).isEqualTo(6);
         assertThat(total.workMs()).isWithin(0.1).of(360);
         assertThat(total.ended()).isWithin(0.1).of(10);
         assertThat(total.failed()).isWithin(0.1).of(4);
-        assertThat(here.localTotals().getFirst().inFlight()).isEqualTo(3);
+        assertThat(here.localTotals().runners().getFirst().inFlight()).isEqualTo(3);
     }
 
     @Test
     void reportReplacesItsReportersRequestsInFlight() {
         LoadReportAggregator aggregator = aggregator();
-        aggregator.report("a", List.of(loadReport(5, 0, 0, 0)));
-        aggregator.report("a", List.of(loadReport(2, 10, 1, 0)));
-        assertThat(aggregator.fleetTotals().getFirst().inFlight()).isEqualTo(2);
-        aggregator.report("a", List.of());
-        assertThat(aggregator.fleetTotals().getFirst().inFlight()).isEqualTo(0);
+        aggregator.report("a", List.of(loadReport(5, 0, 0, 0)), List.of());
+        aggregator.report("a", List.of(loadReport(2, 10, 1, 0)), List.of());
+        assertThat(aggregator.fleetTotals().runners().getFirst().inFlight()).isEqualTo(2);
+        aggregator.report("a", List.of(), List.of());
+        assertThat(aggregator.fleetTotals().runners().getFirst().inFlight()).isEqualTo(0);
     }
 
     @Test
     void requestsInFlightExpireWhenTheirReporterStops() {
         LoadReportAggregator aggregator = aggregator();
-        aggregator.report("a", List.of(loadReport(5, 10, 1, 0)));
+        aggregator.report("a", List.of(loadReport(5, 10, 1, 0)), List.of());
         nowMs += 3_100;
-        assertThat(aggregator.fleetTotals().getFirst().inFlight()).isEqualTo(0);
+        assertThat(aggregator.fleetTotals().runners().getFirst().inFlight()).isEqualTo(0);
     }
 
     @Test
     void failuresDecay() {
         LoadReportAggregator aggregator = aggregator();
-        aggregator.report("a", List.of(loadReport(0, 100, 8, 8)));
+        aggregator.report("a", List.of(loadReport(0, 100, 8, 8)), List.of());
         nowMs += (long) LoadReportAggregator.FAILURE_HALF_LIFE_MS;
-        assertThat(aggregator.fleetTotals().getFirst().failed()).isWithin(0.1).of(4);
+        assertThat(aggregator.fleetTotals().runners().getFirst().failed()).isWithin(0.1).of(4);
         nowMs += 10 * (long) LoadReportAggregator.FAILURE_HALF_LIFE_MS;
-        assertThat(aggregator.fleetTotals().getFirst().failed()).isLessThan(0.1);
+        assertThat(aggregator.fleetTotals().runners().getFirst().failed()).isLessThan(0.1);
     }
 
     @Test
     void runnersWithoutReportsExpire() {
         LoadReportAggregator aggregator = aggregator();
-        aggregator.report("a", List.of(loadReport(1, 100, 1, 0)));
+        aggregator.report("a", List.of(loadReport(1, 100, 1, 0)), List.of());
         nowMs += 120_000;
-        aggregator.report("a", List.of());
-        assertThat(aggregator.fleetTotals()).isEmpty();
+        aggregator.report("a", List.of(), List.of());
+        assertThat(aggregator.fleetTotals().runners()).isEmpty();
     }
 
     @Test
@@ -79,4 +80,33 @@
         byte[] bytes = LedgerCodec.encode(out -> LoadReportCodec.write(out, sent));
         assertThat(LedgerCodec.decode(bytes, LoadReportCodec::read)).isEqualTo(sent);
     }
+
+    @Test
+    void countsEntryNodesOfAllStorageNodes() {
+        LoadReportAggregator here = aggregator();
+        LoadReportAggregator there = aggregator();
+        here.report("a", List.of(), List.of());
+        here.report("a", List.of(), List.of());
+        there.report("b", List.of(), List.of());
+        there.report("c", List.of(), List.of());
+        here.putPeerTotals("there", there.localTotals());
+        assertThat(here.fleetTotals().entryNodes()).isEqualTo(3);
+        nowMs += 5_100;
+        assertThat(here.fleetTotals().entryNodes()).isEqualTo(0);
+    }
+
+    @Test
+    void keepsNewestStatementOfEachRunnersRateLimit() {
+        LoadReportAggregator here = aggregator();
+        LoadReportAggregator there = aggregator();
+        here.report("a", List.of(), List.of(new RateLimitReport("r", 9, 2_000)));
+        there.report("b", List.of(), List.of(new RateLimitReport("r", 4, 100)));
+        there.report("c", List.of(), List.of(new RateLimitReport("r", 6, 900)));
+        nowMs += 50;
+        here.putPeerTotals("there", there.localTotals());
+        assertThat(here.fleetTotals().rateLimits())
+                .containsExactly(new RateLimitReport("r", 4, 150));
+        nowMs += 30_000;
+        assertThat(here.fleetTotals().rateLimits()).isEmpty();
+    }
 }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetSimulation.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetSimulation.java
@@ -153,7 +153,7 @@
         }
         for (int i = 0; i < ENTRY_NODES; i++) {
             RunnerChooser chooser = new RunnerChooser("z", random::nextDouble);
-            pools.add(new RunnerPool(directory, chooser, this::nowNs));
+            pools.add(new RunnerPool(directory, chooser, runner -> 0, this::nowNs));
             int node = i;
             if (sharesReports) {
                 schedule(REPORT_INTERVAL_MS * random.nextDouble(), () -> report(node));
@@ -192,8 +192,8 @@
 
     private void report(int node) {
         List<RunnerLoadReport> loadReports = pools.get(node).drainLoadReports();
-        aggregator.report("n" + node, loadReports);
-        pools.get(node).applyFleetReports(aggregator.fleetTotals(), loadReports);
+        aggregator.report("n" + node, loadReports, List.of());
+        pools.get(node).applyFleetReports(aggregator.fleetTotals().runners(), loadReports);
         if (nowMs < END_MS) {
             schedule(REPORT_INTERVAL_MS, () -> report(node));
         }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeCluster.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeCluster.java
@@ -21,6 +21,7 @@
 import org.skylarkmast.relay.ledger.LedgerClient;
 import org.skylarkmast.relay.ledger.LedgerView;
 import org.skylarkmast.relay.ledger.StorageNodeClient;
+import org.skylarkmast.relay.limit.SendRateLimiter;
 import org.skylarkmast.relay.loadreport.LoadReportAggregator;
 import org.skylarkmast.relay.mirror.MirrorExchange;
 import org.skylarkmast.relay.mirror.StoreMirror;
@@ -139,7 +140,8 @@
                                 new StoreMirror(NO_OP_LISTENER, System::nanoTime),
                                 new StorageNodeClient(
                                         new HttpClient(4, 300), storageNode.views::offer),
-                                () -> true));
+                                () -> true),
+                        new SendRateLimiter(System::nanoTime, 2, () -> 0));
         storageNode.coordinator =
                 new ViewCoordinator(
                         storageNode.index,
--- a/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
+++ b/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
@@ -27,6 +27,7 @@
 import org.skylarkmast.relay.ledger.LedgerClient;
 import org.skylarkmast.relay.ledger.LedgerView;
 import org.skylarkmast.relay.ledger.StorageNodeClient;
+import org.skylarkmast.relay.limit.SendRateLimiter;
 import org.skylarkmast.relay.loadreport.LoadReportAggregator;
 import org.skylarkmast.relay.mirror.KeyRange;
 import org.skylarkmast.relay.mirror.MirrorClient;
@@ -102,7 +103,8 @@
                             membership,
                             views,
                             new LoadReportAggregator(System::nanoTime),
-                            exchange);
+                            exchange,
+                            new SendRateLimiter(System::nanoTime, 2, () -> 0));
         }
 
         void disconnectFromService() {
