[relay] Log connects to runners that fail, and how long all are silent

The logs show neither the connects that failed before another runner was tried, nor whether any runner gave a sign of life.

Change: event runner_connect_failed, counter skylarkmast_runner_connects_total, gauge skylarkmast_runner_silence_seconds. Nothing is decided by them.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -72,6 +72,7 @@
             RunnerPool pool,
             RunnerConnectionPool connections,
             SendAdmission admission,
+            RunnerContact contact,
             WireDialect dialect,
             TurnLedger ledger,
             RequestLog requestLog,
@@ -81,7 +82,8 @@
         this.routing = routing;
         this.pool = pool;
         this.admission = admission;
-        this.sender = new RunnerSender(connections, pool, admission.limits(), dialect, timers);
+        this.sender =
+                new RunnerSender(connections, pool, admission.limits(), contact, dialect, timers);
         this.dialect = dialect;
         this.ledger = ledger;
         this.requestLog = requestLog;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSender.java
@@ -47,6 +47,7 @@
     private final RunnerConnectionPool connections;
     private final RunnerPool pool;
     private final RunnerRateLimits limits;
+    private final RunnerContact contact;
     private final WireDialect dialect;
     private final ScheduledExecutorService timers;
 
@@ -54,12 +55,14 @@
             RunnerConnectionPool connections,
             RunnerPool pool,
             RunnerRateLimits limits,
+            RunnerContact contact,
             WireDialect dialect,
             ScheduledExecutorService timers) {
         this.timers = timers;
         this.connections = connections;
         this.pool = pool;
         this.limits = limits;
+        this.contact = contact;
         this.dialect = dialect;
     }
 
@@ -122,10 +125,8 @@
             throws InterruptedException {
         RunnerConnectionPool.AcquiredConnection acquired;
         try {
-            int timeoutMs = Math.clamp(exchange.remainingMs(), 1, CONNECT_TIMEOUT_MS);
-            acquired = connections.acquire(runner.incarnation(), runner.address(), timeoutMs);
+            acquired = connect(runner, exchange);
         } catch (IOException e) {
-            pool.recordConnectFailure(runner);
             return new SendResult.NotRun(false, "not connected: " + e.getMessage());
         }
         RunnerConnection connection = acquired.connection();
@@ -140,6 +141,7 @@
         try {
             writeRequest(request, runner, connection, exchange, writer);
             answer = readHeadInTime(request, connection);
+            contact.recordAnswer();
             recordReportedState(request, runner, answer);
             if (dialect.reportsNotRun(answer.status(), answer.fields())) {
                 connection.body(answer).readAllBytes();
@@ -178,6 +180,22 @@
         }
     }
 
+    private RunnerConnectionPool.AcquiredConnection connect(Runner runner, Exchange exchange)
+            throws IOException {
+        long startedNs = System.nanoTime();
+        try {
+            int timeoutMs = Math.clamp(exchange.remainingMs(), 1, CONNECT_TIMEOUT_MS);
+            RunnerConnectionPool.AcquiredConnection acquired =
+                    connections.acquire(runner.incarnation(), runner.address(), timeoutMs);
+            contact.recordConnected(acquired.reused());
+            return acquired;
+        } catch (IOException e) {
+            pool.recordConnectFailure(runner);
+            contact.recordConnectFailure(runner, e, System.nanoTime() - startedNs);
+            throw e;
+        }
+    }
+
     /** Records what the head of an answer says about the state of its runner. */
     private void recordReportedState(OutboundRequest request, Runner runner, RunnerAnswer answer) {
         dialect.reportedLoad(answer.fields()).ifPresent(load -> pool.recordLoad(runner, load));
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -17,6 +17,7 @@
 import org.skylarkmast.http.HttpServer;
 import org.skylarkmast.relay.forward.Forwarder;
 import org.skylarkmast.relay.forward.RequestLog;
+import org.skylarkmast.relay.forward.RunnerContact;
 import org.skylarkmast.relay.forward.WireDialect;
 import org.skylarkmast.relay.http.RunnerConnectionPool;
 import org.skylarkmast.relay.ledger.CurrentView;
@@ -103,6 +104,7 @@
                         pool,
                         connections,
                         admission,
+                        new RunnerContact(System::nanoTime, registry),
                         dialect,
                         ledger,
                         new RequestLog(registry),
