--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSender.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -150,6 +151,7 @@
                 if (overloaded) {
                     pool.recordOverload(runner);
                 }
+                logRejection(request, runner, answer);
                 return new SendResult.NotRun(overloaded, "runner answered " + answer.status());
             }
             SendResult result = relayAnswer(request, connection, answer, writer);
@@ -246,6 +248,17 @@
                 request.body());
     }
 
+    private void logRejection(OutboundRequest request, Runner runner, RunnerAnswer answer) {
+        OptionalDouble limit = limits.of(runner);
+        LOG.atInfo()
+                .addKeyValue("event", "runner_rejected")
+                .addKeyValue("request", request.requestId())
+                .addKeyValue("runner", runner.id())
+                .addKeyValue("status", answer.status())
+                .addKeyValue("runnerLimit", limit.isPresent() ? limit.getAsDouble() : "")
+                .log();
+    }
+
     private SendResult failedResult(
             Runner runner, Exchange exchange, AnswerWriter writer, long sentNs, String reason) {
         long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNs);
