--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RateLimitWait.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RateLimitWait.java
@@ -24,6 +24,7 @@
     private static final long DETOUR_WAIT_MS = 20;
 
     private final SendAdmission admission;
+    private final String requestId;
     private final Exchange exchange;
     private final LongSupplier maxWaitMs;
     private final Predicate<Runner> isAvailable;
@@ -41,10 +42,12 @@
      */
     RateLimitWait(
             SendAdmission admission,
+            String requestId,
             Exchange exchange,
             LongSupplier maxWaitMs,
             Predicate<Runner> isAvailable) {
         this.admission = admission;
+        this.requestId = requestId;
         this.exchange = exchange;
         this.maxWaitMs = maxWaitMs;
         this.isAvailable = isAvailable;
@@ -57,7 +60,7 @@
      */
     boolean await(Runner runner) throws InterruptedException {
         long longestMs = waitsLonger ? maxWaitMs.getAsLong() : DETOUR_WAIT_MS;
-        return switch (admission.admit(runner, longestMs)) {
+        return switch (admission.admit(runner, requestId, longestMs)) {
             case SendGrant.Denied denied -> {
                 deniedWaitsMs.put(runner.incarnation(), denied.waitMs());
                 yield false;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
@@ -118,7 +118,12 @@
         this.binding = binding;
         this.continuesProgram = continuesProgram;
         this.rateLimitWait =
-                new RateLimitWait(admission, exchange, this::maxLimitWaitMs, pool::isAvailable);
+                new RateLimitWait(
+                        admission,
+                        request.requestId(),
+                        exchange,
+                        this::maxLimitWaitMs,
+                        pool::isAvailable);
     }
 
     /**
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/limit/SendAdmission.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/limit/SendAdmission.java
@@ -11,6 +11,8 @@
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.skylarkmast.relay.runner.Runner;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Admits this node's sends to runners, so that a runner's rate limit holds for all entry nodes
@@ -21,6 +23,8 @@
  * that storage node, a runner gets at most one and a half times its limit.
  */
 public final class SendAdmission {
+    private static final Logger LOG = LoggerFactory.getLogger(SendAdmission.class);
+
     /** Limits above this rate are not enforced: a runner never gets that many requests. */
     private static final double MAX_ENFORCED_RATE = 10_000;
 
@@ -83,9 +87,10 @@
     /**
      * Requests to send to {@code runner}.
      *
+     * @param requestId the request, for the log
      * @param maxWaitMs longest time that the send may be delayed
      */
-    public SendGrant admit(Runner runner, long maxWaitMs) {
+    public SendGrant admit(Runner runner, String requestId, long maxWaitMs) {
         OptionalDouble limit = enforcedLimit(runner);
         if (limit.isEmpty()) {
             return new SendGrant.Granted(0, 0);
@@ -114,10 +119,26 @@
         }
         long acceptsAtNs = clockNs.getAsLong() + TimeUnit.MILLISECONDS.toNanos(nextWaitMs);
         knownWaits.put(runner.incarnation(), new KnownWait(limit.getAsDouble(), acceptsAtNs));
-        decisions.labelValues(shared.isPresent() ? "fleet" : "own_share", outcome).inc();
+        String source = shared.isPresent() ? "fleet" : "own_share";
+        decisions.labelValues(source, outcome).inc();
+        if (grant instanceof SendGrant.Granted granted) {
+            logGrant(runner, requestId, limit.getAsDouble(), granted.waitMs(), source);
+        }
         return grant;
     }
 
+    private static void logGrant(
+            Runner runner, String requestId, double limit, long waitMs, String source) {
+        LOG.atInfo()
+                .addKeyValue("event", "send_granted")
+                .addKeyValue("request", requestId)
+                .addKeyValue("runner", runner.id())
+                .addKeyValue("limit", limit)
+                .addKeyValue("waitMs", waitMs)
+                .addKeyValue("source", source)
+                .log();
+    }
+
     /**
      * Returns the time until {@code runner} accepts another request, as far as this node knows: the
      * sends of other entry nodes may have made it longer. 0 without a limit.
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/limit/SendAdmissionTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/limit/SendAdmissionTest.java
@@ -59,7 +59,7 @@
             while (sample >= weights.get(node)) {
                 sample -= weights.get(node++);
             }
-            if (nodes.get(node).admit(RUNNER, 20) instanceof SendGrant.Granted) {
+            if (nodes.get(node).admit(RUNNER, "q", 20) instanceof SendGrant.Granted) {
                 sends++;
             }
         }
@@ -122,9 +122,9 @@
                         },
                         () -> 1,
                         new Random(1));
-        assertThat(node.admit(RUNNER, 20)).isEqualTo(new SendGrant.Denied(500));
+        assertThat(node.admit(RUNNER, "q", 20)).isEqualTo(new SendGrant.Denied(500));
         nowMs += 100;
-        assertThat(node.admit(RUNNER, 20)).isEqualTo(new SendGrant.Denied(400));
+        assertThat(node.admit(RUNNER, "q", 20)).isEqualTo(new SendGrant.Denied(400));
         assertThat(calls).hasSize(1);
         assertThat(node.expectedWaitMs(RUNNER)).isEqualTo(400);
     }
@@ -140,9 +140,9 @@
     void unlimitedRunnerNeedsNoGrant(String name, StatedRateLimit stated) {
         SendAdmission node =
                 node(request -> Optional.of(new SendGrant.Denied(500)), () -> 1, new Random(1));
-        node.admit(RUNNER, 0);
+        node.admit(RUNNER, "q", 0);
         node.limits().record(RUNNER, stated, "q");
-        assertThat(node.admit(RUNNER, 0)).isEqualTo(new SendGrant.Granted(0, 0));
+        assertThat(node.admit(RUNNER, "q", 0)).isEqualTo(new SendGrant.Granted(0, 0));
         assertThat(node.expectedWaitMs(RUNNER)).isEqualTo(0);
     }
 }
