[relay] Keep a runner's rate limit while its registration has lapsed

What callers saw: nothing.

Cause: leases run out while the store is away, and entry nodes forgot the limit of an incarnation as soon as it was not registered. Ruled out: the grants themselves (at most 34 in any 4 s at this runner, all by one storage node), rejections (none at limited runners), the restarted node (2 sends).

Change: statements of unregistered incarnations are kept for 30 s after the answer that made them. Memory stays bounded: one entry for each incarnation that stated a limit within that time.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/limit/RunnerRateLimits.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/limit/RunnerRateLimits.java
@@ -17,7 +17,7 @@
  * reports tell, to another one; thread-safe, no I/O.
  *
  * <p>Holds one entry for each incarnation that has or had a limit; {@link #retain} removes those of
- * incarnations that are gone.
+ * incarnations that have been gone for {@link #UNREGISTERED_RETENTION_MS}.
  */
 public final class RunnerRateLimits {
     private static final Logger LOG = LoggerFactory.getLogger(RunnerRateLimits.class);
@@ -25,6 +25,9 @@
     /** Age above which a statement is not reported any more; the others know it by then. */
     private static final long MAX_REPORT_AGE_MS = 30_000;
 
+    /** Age above which a statement of a runner that is not registered is removed. */
+    private static final long UNREGISTERED_RETENTION_MS = 30_000;
+
     private final LongSupplier clockNs;
     private final Map<String, Statement> statements = new ConcurrentHashMap<>();
 
@@ -106,11 +109,10 @@
 
     /** Returns the recent statements, withdrawals included. */
     public List<RateLimitReport> reports() {
-        long nowNs = clockNs.getAsLong();
         List<RateLimitReport> reports = new ArrayList<>();
         statements.forEach(
                 (incarnation, statement) -> {
-                    long ageMs = TimeUnit.NANOSECONDS.toMillis(nowNs - statement.statedNs());
+                    long ageMs = ageMs(statement);
                     if (ageMs <= MAX_REPORT_AGE_MS) {
                         reports.add(
                                 new RateLimitReport(
@@ -125,9 +127,21 @@
         return statements.values().stream().filter(Statement::isLimited).count();
     }
 
-    /** Removes the statements of incarnations that do not match {@code isRegistered}. */
+    /**
+     * Removes old statements of incarnations that do not match {@code isRegistered}. Recent ones
+     * are kept: leases also run out while the store is away, and the runner then registers again.
+     */
     public void retain(Predicate<String> isRegistered) {
-        statements.keySet().removeIf(incarnation -> !isRegistered.test(incarnation));
+        statements
+                .entrySet()
+                .removeIf(
+                        entry ->
+                                !isRegistered.test(entry.getKey())
+                                        && ageMs(entry.getValue()) > UNREGISTERED_RETENTION_MS);
+    }
+
+    private long ageMs(Statement statement) {
+        return TimeUnit.NANOSECONDS.toMillis(clockNs.getAsLong() - statement.statedNs());
     }
 
     private static void log(
