[relay] Spread the limits of runners evenly over storage nodes

Cause: checksums of name and runner are linear, so the same storage node wins half of the comparisons: 508, 241 and 251 of 1,000 runners for the names of one site's three storage nodes, 350, 319 and 331 mixed (trial by a scratch program). Found while looking for the broken LIMIT; it did not cause it.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/limit/StorageNodeGrantClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/limit/StorageNodeGrantClient.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -93,11 +94,15 @@
         }
     }
 
+    /** Mixes the two checksums, which by themselves would favor some storage nodes. */
     private static long rank(LedgerView.Member member, String incarnation) {
+        long seed = (checksum(member.node()) << Integer.SIZE) | checksum(incarnation);
+        return new SplittableRandom(seed).nextLong();
+    }
+
+    private static long checksum(String text) {
         CRC32C crc = new CRC32C();
-        crc.update(member.node().getBytes(StandardCharsets.UTF_8));
-        crc.update('/');
-        crc.update(incarnation.getBytes(StandardCharsets.UTF_8));
+        crc.update(text.getBytes(StandardCharsets.UTF_8));
         return crc.getValue();
     }
 }
