--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -59,6 +59,8 @@
     private final RelaySettings settings;
     private final RoutingState routing = new RoutingState();
     private final RunnerDirectory directory = new RunnerDirectory();
+    private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+    private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
     private final CurrentView views;
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final CallerServer callerServer;
@@ -76,28 +78,17 @@
         // Bound first: callers that connect during the rest of the start wait about 100 ms and are
         // then served instead of refused.
         ServerSocket listener = CallerServer.bind(settings.callersAddress());
-        ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
-        ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
         RunnerConnectionPool connections = new RunnerConnectionPool();
-        AtomicReference<LedgerClient> ledgerReference = new AtomicReference<>();
-        // A new view may contain storage nodes that have never been probed.
-        views = new CurrentView(view -> executor.execute(() -> ledgerReference.get().probe()));
+        AtomicReference<Runnable> onNewView = new AtomicReference<>();
+        views = new CurrentView(view -> onNewView.get().run());
         StorageNodeClient storageNodes =
                 new StorageNodeClient(
                         new HttpClient(
                                 STORAGE_NODE_IDLE_CONNECTIONS, STORAGE_NODE_CONNECT_TIMEOUT_MS),
                         views::offer);
         ledger = new LedgerClient(views, storageNodes, networkOf(settings.ip()), executor);
-        ledgerReference.set(ledger);
         SendAdmission admission = createAdmission(storageNodes);
-        RunnerPool pool =
-                new RunnerPool(
-                        directory,
-                        new RunnerChooser(
-                                settings.failureDomain(),
-                                () -> ThreadLocalRandom.current().nextDouble()),
-                        admission::expectedWaitMs,
-                        System::nanoTime);
+        RunnerPool pool = createPool(admission);
         Forwarder forwarder =
                 new Forwarder(
                         routing,
@@ -112,7 +103,21 @@
                         timers,
                         () -> ThreadLocalRandom.current().nextDouble());
         callerServer = new CallerServer(listener, forwarder, routing, timers);
-        startPeriodicTasks(connections, pool, admission, executor, timers);
+        LoadReporter reporter =
+                new LoadReporter(
+                        settings.node() + "/" + System.nanoTime(),
+                        pool,
+                        admission.limits(),
+                        ledger,
+                        entryNodeCount::set);
+        // A new view may contain storage nodes that have never been probed, and a node that has
+        // just started needs what the others know of runners before its first sends.
+        onNewView.set(
+                () -> {
+                    executor.execute(ledger::probe);
+                    executor.execute(logged("report_failed", reporter::report));
+                });
+        startPeriodicTasks(connections, pool, admission, reporter);
         registerGauges(connections, admission);
         NodeEndpoints.start(settings.ip(), settings.metricsPort(), registry);
         startReadinessEndpoint(settings.readinessAddress());
@@ -122,6 +127,13 @@
                 .log();
     }
 
+    private RunnerPool createPool(SendAdmission admission) {
+        RunnerChooser chooser =
+                new RunnerChooser(
+                        settings.failureDomain(), () -> ThreadLocalRandom.current().nextDouble());
+        return new RunnerPool(directory, chooser, admission::expectedWaitMs, System::nanoTime);
+    }
+
     private SendAdmission createAdmission(StorageNodeClient storageNodes) {
         return new SendAdmission(
                 new RunnerRateLimits(System::nanoTime),
@@ -152,8 +164,7 @@
             RunnerConnectionPool connections,
             RunnerPool pool,
             SendAdmission admission,
-            ExecutorService executor,
-            ScheduledExecutorService timers) {
+            LoadReporter reporter) {
         Runnable housekeeping =
                 logged(
                         "housekeeping_failed",
@@ -163,13 +174,6 @@
                             pool.removeUnregistered();
                             admission.retain(directory::isRegistered);
                         });
-        LoadReporter reporter =
-                new LoadReporter(
-                        settings.node() + "/" + System.nanoTime(),
-                        pool,
-                        admission.limits(),
-                        ledger,
-                        entryNodeCount::set);
         Runnable report = logged("report_failed", reporter::report);
         var _ =
                 timers.scheduleWithFixedDelay(
