--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -55,7 +55,8 @@
     private final RoutingState routing;
     private final RunnerPool pool;
     private final SendAdmission admission;
-    private final RunnerSender sender;
+    private final RunnerContact contact;
+    private final RequestSender sender;
     private final WireDialect dialect;
     private final TurnLedger ledger;
     private final RequestLog requestLog;
@@ -82,8 +83,8 @@
         this.routing = routing;
         this.pool = pool;
         this.admission = admission;
-        this.sender =
-                new RunnerSender(connections, pool, admission.limits(), contact, dialect, timers);
+        this.contact = contact;
+        this.sender = new RequestSender(connections, dialect::toRunnerFields, dialect, timers);
         this.dialect = dialect;
         this.ledger = ledger;
         this.requestLog = requestLog;
@@ -316,8 +317,8 @@
             int tokensPerEvent = target == null ? 1 : target.tokensPerEvent();
             writer =
                     new AnswerWriter(caller, closeAfterAnswer, tokensPerEvent, route.storesTurns());
-            RunnerSender.OutboundRequest outboundRequest =
-                    new RunnerSender.OutboundRequest(
+            RequestSender.OutboundRequest outboundRequest =
+                    new RequestSender.OutboundRequest(
                             call.requestId(),
                             request.method(),
                             request.target(),
@@ -328,12 +329,20 @@
                             call.prompt(),
                             stream,
                             this::storeTurn,
-                            RunnerSender.OutboundRequest.NO_HEAD_TIMEOUT);
+                            RequestSender.OutboundRequest.NO_HEAD_TIMEOUT);
             RetryLoop loop =
                     new RetryLoop(
                             pool,
                             admission,
                             sender,
+                            runner ->
+                                    new RunnerObserver(
+                                            pool,
+                                            admission.limits(),
+                                            contact,
+                                            dialect,
+                                            outboundRequest,
+                                            runner),
                             route,
                             service,
                             outboundRequest,
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.List;
-import java.util.OptionalDouble;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -12,17 +11,13 @@
 import org.skylarkmast.relay.http.RunnerAnswer;
 import org.skylarkmast.relay.http.RunnerConnection;
 import org.skylarkmast.relay.http.RunnerConnectionPool;
-import org.skylarkmast.relay.limit.RunnerRateLimits;
-import org.skylarkmast.relay.limit.StatedRateLimit;
 import org.skylarkmast.relay.runner.PromptPart;
-import org.skylarkmast.relay.runner.Runner;
-import org.skylarkmast.relay.runner.RunnerPool;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Sends a request to one runner and relays its answer to the caller; thread-safe. */
-final class RunnerSender {
-    private static final Logger LOG = LoggerFactory.getLogger(RunnerSender.class);
+/** Sends a request to one destination and relays its answer to the caller; thread-safe. */
+final class RequestSender {
+    private static final Logger LOG = LoggerFactory.getLogger(RequestSender.class);
 
     /**
      * Maximum wait for a connection. Connecting takes a few milliseconds; a lost packet would be
@@ -46,25 +41,25 @@
     private static final int MISDIRECTED_REQUEST = 421;
 
     private final RunnerConnectionPool connections;
-    private final RunnerPool pool;
-    private final RunnerRateLimits limits;
-    private final RunnerContact contact;
+    private final FieldsTranslation translation;
     private final WireDialect dialect;
     private final ScheduledExecutorService timers;
 
-    RunnerSender(
+    /** Returns the fields of a request as they are sent, from those of the caller. */
+    @FunctionalInterface
+    interface FieldsTranslation {
+        HeaderFields translate(HeaderFields callerFields, WireDialect.SendOptions options);
+    }
+
+    RequestSender(
             RunnerConnectionPool connections,
-            RunnerPool pool,
-            RunnerRateLimits limits,
-            RunnerContact contact,
+            FieldsTranslation translation,
             WireDialect dialect,
             ScheduledExecutorService timers) {
-        this.timers = timers;
         this.connections = connections;
-        this.pool = pool;
-        this.limits = limits;
-        this.contact = contact;
+        this.translation = translation;
         this.dialect = dialect;
+        this.timers = timers;
     }
 
     /**
@@ -122,11 +117,16 @@
         boolean beforeStreamEnd(AnswerWriter writer) throws InterruptedException;
     }
 
-    SendResult send(OutboundRequest request, Runner runner, Exchange exchange, AnswerWriter writer)
+    SendResult send(
+            OutboundRequest request,
+            Destination destination,
+            SendObserver observer,
+            Exchange exchange,
+            AnswerWriter writer)
             throws InterruptedException {
         RunnerConnectionPool.AcquiredConnection acquired;
         try {
-            acquired = connect(runner, exchange);
+            acquired = connect(destination, observer, exchange);
         } catch (IOException e) {
             return new SendResult.NotRun(false, "not connected: " + e.getMessage());
         }
@@ -135,79 +135,61 @@
             connection.abort();
             return new SendResult.NotRun(false, "exchange ended before the send");
         }
-        pool.recordStart(runner);
+        observer.sending();
         boolean reusable = false;
         RunnerAnswer answer = null;
         long sentNs = System.nanoTime();
         try {
-            writeRequest(request, runner, connection, exchange, writer);
+            writeRequest(request, destination, connection, exchange, writer);
             answer = readHeadInTime(request, connection);
-            contact.recordAnswer();
-            recordReportedState(request, runner, answer);
+            observer.answered(answer);
             if (dialect.reportsNotRun(answer.status(), answer.fields())) {
                 connection.body(answer).readAllBytes();
                 reusable = true;
                 boolean overloaded = answer.status() != MISDIRECTED_REQUEST;
-                if (overloaded) {
-                    pool.recordOverload(runner);
-                }
-                logRejection(request, runner, answer);
+                observer.rejected(answer, overloaded);
                 return new SendResult.NotRun(overloaded, "runner answered " + answer.status());
             }
             SendResult result = relayAnswer(request, connection, answer, writer);
             reusable = result instanceof SendResult.Delivered;
             if (reusable && answer.status() < 300) {
-                pool.recordSuccess(
-                        runner,
-                        System.nanoTime() - sentNs,
-                        completedUnits(request, writer),
-                        request.prompt());
+                observer.succeeded(System.nanoTime() - sentNs, completedUnits(request, writer));
             } else if (answer.status() >= 500) {
-                pool.recordFailure(runner);
+                observer.failed();
             }
             return result;
         } catch (CallerWriteException e) {
             return new SendResult.CallerLost(String.valueOf(e.getMessage()));
         } catch (IOException | IllegalStateException e) {
             String reason = e.getMessage() + (acquired.reused() ? " (reused connection)" : "");
-            return failedResult(runner, exchange, writer, sentNs, reason);
+            return failedResult(destination, observer, exchange, writer, sentNs, reason);
         } finally {
-            pool.recordEnd(runner);
+            observer.ended();
             exchange.detach();
             if (reusable && !exchange.isCallerDisconnected()) {
-                connections.release(runner.incarnation(), connection, answer);
+                connections.release(destination.connectionKey(), connection, answer);
             } else {
                 connection.abort();
             }
         }
     }
 
-    private RunnerConnectionPool.AcquiredConnection connect(Runner runner, Exchange exchange)
-            throws IOException {
+    private RunnerConnectionPool.AcquiredConnection connect(
+            Destination destination, SendObserver observer, Exchange exchange) throws IOException {
         long startedNs = System.nanoTime();
         try {
             int timeoutMs = Math.clamp(exchange.remainingMs(), 1, CONNECT_TIMEOUT_MS);
             RunnerConnectionPool.AcquiredConnection acquired =
-                    connections.acquire(runner.incarnation(), runner.address(), timeoutMs);
-            contact.recordConnected(acquired.reused());
+                    connections.acquire(
+                            destination.connectionKey(), destination.address(), timeoutMs);
+            observer.connected(acquired.reused());
             return acquired;
         } catch (IOException e) {
-            pool.recordConnectFailure(runner);
-            contact.recordConnectFailure(runner, e, System.nanoTime() - startedNs);
+            observer.connectFailed(e, System.nanoTime() - startedNs);
             throw e;
         }
     }
 
-    /** Records what the head of an answer says about the state of its runner. */
-    private void recordReportedState(OutboundRequest request, Runner runner, RunnerAnswer answer) {
-        dialect.reportedLoad(answer.fields()).ifPresent(load -> pool.recordLoad(runner, load));
-        // A misdirected request was answered by another runner.
-        if (answer.status() != MISDIRECTED_REQUEST) {
-            StatedRateLimit stated = dialect.statedRateLimit(answer.fields());
-            limits.record(runner, stated, request.requestId());
-        }
-    }
-
     /** Reads the answer's head; aborts the connection when the head time-out passes. */
     private RunnerAnswer readHeadInTime(OutboundRequest request, RunnerConnection connection)
             throws IOException {
@@ -230,7 +212,7 @@
 
     private void writeRequest(
             OutboundRequest request,
-            Runner runner,
+            Destination destination,
             RunnerConnection connection,
             Exchange exchange,
             AnswerWriter writer)
@@ -238,41 +220,35 @@
         WireDialect.SendOptions options =
                 new WireDialect.SendOptions(
                         Math.max(1, exchange.remainingMs()),
-                        runner.id(),
+                        destination.id(),
                         request.priority(),
                         writer.lastEventId());
         connection.send(
                 request.method(),
                 request.target(),
-                dialect.toRunnerFields(request.fields(), options),
+                translation.translate(request.fields(), options),
                 request.body());
     }
 
-    private void logRejection(OutboundRequest request, Runner runner, RunnerAnswer answer) {
-        OptionalDouble limit = limits.of(runner);
-        LOG.atInfo()
-                .addKeyValue("event", "runner_rejected")
-                .addKeyValue("request", request.requestId())
-                .addKeyValue("runner", runner.id())
-                .addKeyValue("status", answer.status())
-                .addKeyValue("runnerLimit", limit.isPresent() ? limit.getAsDouble() : "")
-                .log();
-    }
-
     private SendResult failedResult(
-            Runner runner, Exchange exchange, AnswerWriter writer, long sentNs, String reason) {
+            Destination destination,
+            SendObserver observer,
+            Exchange exchange,
+            AnswerWriter writer,
+            long sentNs,
+            String reason) {
         long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNs);
         boolean cancelled = exchange.isCallerDisconnected() || exchange.isExpired();
         // A cancelled request counts as a failure as well if the runner had long enough to answer.
         if (!cancelled || (!writer.hasBegun() && tookMs >= UNRESPONSIVE_AFTER_MS)) {
-            pool.recordFailure(runner);
+            observer.failed();
         }
         if (exchange.isCallerDisconnected()) {
             return new SendResult.CallerLost("caller closed");
         }
         LOG.atInfo()
                 .addKeyValue("event", "runner_exchange_broken")
-                .addKeyValue("runner", runner.id())
+                .addKeyValue("runner", destination.id())
                 .addKeyValue("reason", reason)
                 .addKeyValue("begun", writer.hasBegun())
                 .addKeyValue("tookMs", tookMs)
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
@@ -6,6 +6,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.skylarkmast.relay.limit.RunnerRateLimits;
 import org.skylarkmast.relay.limit.SendAdmission;
@@ -70,10 +71,11 @@
 
     private final RunnerPool pool;
     private final RunnerRateLimits limits;
-    private final RunnerSender sender;
+    private final RequestSender sender;
+    private final Function<Runner, SendObserver> observers;
     private final Route route;
     private final String service;
-    private final RunnerSender.OutboundRequest request;
+    private final RequestSender.OutboundRequest request;
     private final Exchange exchange;
     private final AnswerWriter writer;
     private final OriginBinding binding;
@@ -94,15 +96,17 @@
     private int retries;
 
     /**
+     * @param observers returns the observer of a send to a runner
      * @param continuesProgram whether the request belongs to a program that has got answers before
      */
     RetryLoop(
             RunnerPool pool,
             SendAdmission admission,
-            RunnerSender sender,
+            RequestSender sender,
+            Function<Runner, SendObserver> observers,
             Route route,
             String service,
-            RunnerSender.OutboundRequest request,
+            RequestSender.OutboundRequest request,
             Exchange exchange,
             AnswerWriter writer,
             OriginBinding binding,
@@ -110,6 +114,7 @@
         this.pool = pool;
         this.limits = admission.limits();
         this.sender = sender;
+        this.observers = observers;
         this.route = route;
         this.service = service;
         this.request = request;
@@ -193,7 +198,13 @@
             lastRunnerVersion = runner.softwareVersion();
             lastRunnerLimit = limits.of(runner);
             sendsToLimitedRunners += lastRunnerLimit.isPresent() ? 1 : 0;
-            last = sender.send(outboundRequest(runner), runner, exchange, writer);
+            last =
+                    sender.send(
+                            outboundRequest(runner),
+                            Destination.of(runner),
+                            observers.apply(runner),
+                            exchange,
+                            writer);
             Outcome outcome = evaluate(last, runner);
             if (outcome != null) {
                 return outcome;
@@ -285,7 +296,7 @@
     /**
      * Returns the request, with a head time-out if it is idempotent and can be retried elsewhere.
      */
-    private RunnerSender.OutboundRequest outboundRequest(Runner runner) {
+    private RequestSender.OutboundRequest outboundRequest(Runner runner) {
         boolean canRetryElsewhere =
                 attemptedRunners.size() + 1 < route.maxAttempts() && retries < MAX_RETRIES;
         if (route.kind() != RouteKind.IDEMPOTENT || !canRetryElsewhere) {
