--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/PeerRelay.java
@@ -0,0 +1,116 @@
+package org.skylarkmast.relay.forward;
+
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import org.skylarkmast.relay.http.HeaderFields;
+import org.skylarkmast.relay.http.RunnerConnectionPool;
+import org.skylarkmast.relay.peer.PeerDirectory;
+import org.skylarkmast.relay.peer.PeerNode;
+import org.skylarkmast.relay.peer.RunnerReachability;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Passes callers' requests on to other entry nodes while this node reaches no runner; thread-safe.
+ *
+ * <p>The other node serves the request as its own. It rejects it as misdirected if it reaches no
+ * runner either; a request is never passed on twice.
+ */
+public final class PeerRelay {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerRelay.class);
+
+    /** Number of runners to which the other node may send the request. */
+    private static final String MAX_ATTEMPTS = "Skylarkmast-Max-Attempts";
+
+    /** Maximum number of nodes that are tried for a request. */
+    private static final int MAX_PEERS = 3;
+
+    private final RunnerReachability reachability;
+    private final PeerDirectory peers;
+    private final RequestSender sender;
+
+    /**
+     * @param connections connections to other entry nodes
+     */
+    public PeerRelay(
+            RunnerReachability reachability,
+            PeerDirectory peers,
+            RunnerConnectionPool connections,
+            WireDialect dialect,
+            ScheduledExecutorService timers) {
+        this.reachability = reachability;
+        this.peers = peers;
+        this.sender = new RequestSender(connections, dialect::toPeerFields, dialect, timers);
+    }
+
+    /**
+     * The result of passing a request on.
+     *
+     * @param peer process name of the last node it was sent to, empty if none is known
+     */
+    record Relayed(SendResult result, String peer) {}
+
+    /** Whether this node reaches no runner, so that its callers' requests need another node. */
+    boolean isNeeded() {
+        return reachability.isCutOff();
+    }
+
+    /**
+     * Sends a request to another entry node.
+     *
+     * @param request with the fields of the caller
+     * @param maxAttempts number of runners to which that node may send it, at least 1
+     */
+    Relayed relay(
+            RequestSender.OutboundRequest request,
+            int maxAttempts,
+            Exchange exchange,
+            AnswerWriter writer)
+            throws InterruptedException {
+        RequestSender.OutboundRequest limited =
+                request.withFields(
+                        request.fields().with(MAX_ATTEMPTS, Integer.toString(maxAttempts)));
+        SendResult result = new SendResult.NotRun(false, "no other entry node is known");
+        String lastPeer = "";
+        List<PeerNode> candidates = peers.shuffled();
+        for (PeerNode peer : candidates.subList(0, Math.min(MAX_PEERS, candidates.size()))) {
+            lastPeer = peer.process();
+            Destination destination =
+                    new Destination(peer.process(), peer.process(), peer.address());
+            result = sender.send(limited, destination, SendObserver.NONE, exchange, writer);
+            if (!(result instanceof SendResult.NotRun notRun) || exchange.isCancelled()) {
+                break;
+            }
+            LOG.atInfo()
+                    .addKeyValue("event", "peer_rejected")
+                    .addKeyValue("request", request.requestId())
+                    .addKeyValue("peer", peer.process())
+                    .addKeyValue("reason", notRun.reason())
+                    .log();
+        }
+        return new Relayed(result, lastPeer);
+    }
+
+    /** Returns the number of runners to which a request of another node may be sent. */
+    static int maxAttempts(HeaderFields peerFields, int routeLimit) {
+        String value = peerFields.first(MAX_ATTEMPTS);
+        try {
+            return value == null
+                    ? routeLimit
+                    : Math.clamp(Integer.parseInt(value.strip()), 1, routeLimit);
+        } catch (NumberFormatException e) {
+            LOG.atWarn()
+                    .addKeyValue("event", "peer_field_unreadable")
+                    .addKeyValue("field", MAX_ATTEMPTS)
+                    .addKeyValue("value", value)
+                    .log();
+            return 1;
+        }
+    }
+
+    /** Returns the caller's fields of a request of another node. */
+    static HeaderFields callerFields(HeaderFields peerFields) {
+        return peerFields.without(
+                java.util.Set.of(MAX_ATTEMPTS.toLowerCase(java.util.Locale.ROOT)));
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RefusalWriter.java
@@ -0,0 +1,46 @@
+package org.skylarkmast.relay.forward;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
+import org.skylarkmast.relay.http.CallerConnection;
+import org.skylarkmast.relay.http.HeaderFields;
+
+/** Writes and logs error answers that the entry node generates itself; thread-safe. */
+final class RefusalWriter {
+    private final WireDialect dialect;
+    private final RequestLog requestLog;
+
+    RefusalWriter(WireDialect dialect, RequestLog requestLog) {
+        this.dialect = dialect;
+        this.requestLog = requestLog;
+    }
+
+    /** Writes {@code refusal}; returns whether the connection may serve another request. */
+    boolean refuse(
+            CallerConnection caller,
+            String requestId,
+            Refusal refusal,
+            BooleanSupplier closeAfterAnswer,
+            RequestLog.Entry entry) {
+        boolean close = closeAfterAnswer.getAsBoolean();
+        HeaderFields fields =
+                dialect.localAnswerFields(requestId)
+                        .with("Content-Type", "text/plain; charset=utf-8");
+        if (refusal.retryAfterMs() != Refusal.NEVER) {
+            String seconds = String.format("%.3f", refusal.retryAfterMs() / 1000.0);
+            fields = fields.with("Retry-After", seconds);
+        }
+        entry.status = refusal.status();
+        entry.reason = refusal.reason();
+        try {
+            byte[] text = (refusal.reason() + "\n").getBytes(StandardCharsets.UTF_8);
+            caller.writeAnswer(refusal.status(), fields, text, close);
+            requestLog.logEnd("refused", entry);
+            return !close;
+        } catch (IOException e) {
+            requestLog.logEnd("refusal_unread", entry);
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -0,0 +1,312 @@
+package org.skylarkmast.relay.forward;
+
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.function.BooleanSupplier;
+import org.skylarkmast.relay.http.CallerConnection;
+import org.skylarkmast.relay.http.Framing;
+import org.skylarkmast.relay.http.InboundRequest;
+import org.skylarkmast.relay.ledger.ChainOutcome;
+import org.skylarkmast.relay.ledger.TurnRecord;
+import org.skylarkmast.relay.route.Route;
+import org.skylarkmast.relay.route.RouteKind;
+import org.skylarkmast.relay.route.RoutingConfiguration;
+import org.skylarkmast.relay.route.TargetService;
+
+/** Serves one request; confined to one thread. */
+final class RequestHandler {
+    private final ForwardingContext context;
+    private final CallerConnection caller;
+    private final InboundRequest request;
+    private final byte[] input;
+    private final BooleanSupplier closeAfterAnswer;
+    private final CallMetadata call;
+    private final Route route;
+    private final Exchange exchange;
+    private final RoutingConfiguration configuration;
+    private final boolean fromPeer;
+
+    /** The service that the request is sent to; that of its origin if it resumes a stream. */
+    private String service;
+
+    /** Writes the answer; null before the request is sent. */
+    private AnswerWriter writer;
+
+    /**
+     * @param fromPeer whether another entry node has passed the request on
+     * @param sample selects the service among those of the route, uniform in [0, 1)
+     */
+    RequestHandler(
+            ForwardingContext context,
+            CallerConnection caller,
+            InboundRequest request,
+            byte[] input,
+            BooleanSupplier closeAfterAnswer,
+            CallMetadata call,
+            Route route,
+            RoutingConfiguration configuration,
+            Exchange exchange,
+            boolean fromPeer,
+            double sample) {
+        this.context = context;
+        this.caller = caller;
+        this.request = request;
+        this.input = input;
+        this.closeAfterAnswer = closeAfterAnswer;
+        this.call = call;
+        this.route = route;
+        this.exchange = exchange;
+        this.configuration = configuration;
+        this.fromPeer = fromPeer;
+        this.service = route.selectService(sample);
+    }
+
+    private boolean hasEvents() {
+        return writer != null && writer.hasEvents();
+    }
+
+    /** Serves the request; returns whether the connection may serve another one. */
+    boolean serve(RequestLog.Entry entry) throws InterruptedException {
+        entry.service = service;
+        if (mayLeaveToPeer()) {
+            return leaveToPeer(route.maxAttempts(), false, entry);
+        }
+        RequestAdmission admission =
+                new RequestAdmission(
+                        context.pool(),
+                        context.ledger(),
+                        call,
+                        route,
+                        service,
+                        this::storageTimeoutMs,
+                        this::hasEvents);
+        if ((admission.needsLedger() || route.storesTurns())
+                && !context.ledger().awaitFirstQuorum(Forwarder.startupWaitMs(call))) {
+            Refusal refusal =
+                    Refusal.notRun(Forwarder.OTHER_NODE_RETRY_AFTER_MS, "no quorum of keepers");
+            return context.refusals()
+                    .refuse(caller, call.requestId(), refusal, closeAfterAnswer, entry);
+        }
+        Future<ChainOutcome> chain = startChain();
+        Refusal refusal = null;
+        OriginBinding binding = null;
+        switch (admission.admit(entry)) {
+            case RequestAdmission.Result.Admitted admitted -> {
+                service = admitted.service();
+                binding = admitted.binding();
+            }
+            case RequestAdmission.Result.Refused refused -> refusal = refused.refusal();
+        }
+        entry.service = service;
+        byte[] body = input;
+        if (chain != null) {
+            ChainOutcome chainOutcome = awaitChain(chain);
+            if (refusal == null) {
+                switch (chainOutcome) {
+                    case ChainOutcome.Found found -> {
+                        entry.chainLength = found.turns().size();
+                        body = joinHistory(found);
+                    }
+                    case ChainOutcome.Absent absent ->
+                            refusal = Refusal.of(404, "no such previous turn");
+                    case ChainOutcome.Uncertain uncertain ->
+                            refusal =
+                                    Refusal.notRun(
+                                            RequestAdmission.STORAGE_RETRY_AFTER_MS,
+                                            "history not readable");
+                }
+                if (refusal != null && admission.needsTokens()) {
+                    settle(0);
+                }
+            }
+        }
+        if (refusal != null) {
+            return context.refusals()
+                    .refuse(caller, call.requestId(), refusal, closeAfterAnswer, entry);
+        }
+        return send(body, admission.needsTokens(), binding, entry);
+    }
+
+    private Future<ChainOutcome> startChain() {
+        if (!route.storesTurns() || call.previousTurn().isEmpty()) {
+            return null;
+        }
+        return context.executor()
+                .submit(() -> context.ledger().chain(call.previousTurn(), storageTimeoutMs()));
+    }
+
+    private ChainOutcome awaitChain(Future<ChainOutcome> chain) throws InterruptedException {
+        try {
+            return chain.get();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(
+                    "reading the chain of previous turns failed", e.getCause());
+        }
+    }
+
+    private boolean send(
+            byte[] body, boolean reserved, OriginBinding binding, RequestLog.Entry entry)
+            throws InterruptedException {
+        writer = answerWriter(route.storesTurns());
+        RequestSender.OutboundRequest outboundRequest = outboundRequest(body, this::storeTurn);
+        RetryLoop loop =
+                new RetryLoop(
+                        context.pool(),
+                        context.admission(),
+                        context.sender(),
+                        context.observers(outboundRequest),
+                        route,
+                        service,
+                        outboundRequest,
+                        exchange,
+                        writer,
+                        binding,
+                        !call.previousTurn().isEmpty(),
+                        this::mayLeaveToPeer);
+        RetryLoop.Outcome outcome = loop.run();
+        entry.runner = loop.lastRunner();
+        entry.runnerVersion = loop.lastRunnerVersion();
+        entry.runnerLimit = loop.lastRunnerLimit();
+        entry.limitDelayMs = loop.limitDelayMs();
+        entry.sends = loop.sends();
+        context.requestLog().countSendsToLimitedRunners(loop.sendsToLimitedRunners());
+        entry.tokens = writer.tokensWritten();
+        entry.framing = writer.runnerFraming();
+        entry.trailingBytes = writer.trailingBytes();
+        if (outcome.leftToPeer()) {
+            return leaveToPeer(loop.remainingAttempts(), reserved, entry);
+        }
+        boolean settledByAppend = writer.isComplete() && route.storesTurns();
+        if (reserved && !settledByAppend) {
+            settle(writer.tokensWritten());
+        }
+        return finish(outcome, writer, entry);
+    }
+
+    private AnswerWriter answerWriter(boolean recordsOutput) {
+        TargetService target = configuration.service(service);
+        int tokensPerEvent = target == null ? 1 : target.tokensPerEvent();
+        return new AnswerWriter(caller, closeAfterAnswer, tokensPerEvent, recordsOutput);
+    }
+
+    private RequestSender.OutboundRequest outboundRequest(
+            byte[] body, RequestSender.StreamEndHook streamEndHook) {
+        boolean stream = route.kind() == RouteKind.STREAM;
+        return new RequestSender.OutboundRequest(
+                call.requestId(),
+                request.method(),
+                request.target(),
+                PeerRelay.callerFields(Framing.endToEnd(request.fields())),
+                body,
+                route.priority(),
+                stream ? call.estimatedOutputTokens() : 1,
+                call.prompt(),
+                stream,
+                streamEndHook,
+                RequestSender.OutboundRequest.NO_HEAD_TIMEOUT);
+    }
+
+    private boolean mayLeaveToPeer() {
+        return !fromPeer && context.peerRelay().isNeeded();
+    }
+
+    /**
+     * Lets another entry node serve the request.
+     *
+     * @param reserved whether this node has reserved tokens; the other one counts the same
+     *     reservation and settles it
+     */
+    private boolean leaveToPeer(int maxAttempts, boolean reserved, RequestLog.Entry entry)
+            throws InterruptedException {
+        writer = answerWriter(false);
+        PeerRelay.Relayed relayed =
+                context.peerRelay()
+                        .relay(outboundRequest(input, _ -> true), maxAttempts, exchange, writer);
+        entry.peer = relayed.peer();
+        entry.tokens = writer.tokensWritten();
+        Refusal refusal =
+                switch (relayed.result()) {
+                    case SendResult.NotRun notRun -> {
+                        if (reserved) {
+                            settle(0);
+                        }
+                        yield Refusal.notRun(
+                                Forwarder.OTHER_NODE_RETRY_AFTER_MS,
+                                "no runner is reachable: " + notRun.reason());
+                    }
+                    case SendResult.MayHaveRun broken ->
+                            exchange.isExpired()
+                                    ? Refusal.timedOut("no answer in time")
+                                    : Refusal.mayHaveRun(broken.reason());
+                    case SendResult.Delivered delivered -> null;
+                    case SendResult.BrokenOff brokenOff -> null;
+                    case SendResult.CallerLost lost -> null;
+                };
+        return finish(new RetryLoop.Outcome(relayed.result(), refusal), writer, entry);
+    }
+
+    private boolean finish(RetryLoop.Outcome outcome, AnswerWriter writer, RequestLog.Entry entry) {
+        if (outcome.refusal() != null && !writer.hasBegun()) {
+            return context.refusals()
+                    .refuse(caller, call.requestId(), outcome.refusal(), closeAfterAnswer, entry);
+        }
+        return switch (outcome.result()) {
+            case SendResult.Delivered delivered -> {
+                entry.status = delivered.status();
+                context.requestLog().logEnd("delivered", entry);
+                yield !writer.closesConnection();
+            }
+            case SendResult.CallerLost lost -> abortCaller("caller_lost", lost.reason(), entry);
+            case SendResult.BrokenOff broken -> abortCaller("broken_off", broken.reason(), entry);
+            case SendResult.MayHaveRun broken -> abortCaller("broken_off", broken.reason(), entry);
+            case SendResult.NotRun notRun -> abortCaller("broken_off", notRun.reason(), entry);
+        };
+    }
+
+    private boolean abortCaller(String outcome, String reason, RequestLog.Entry entry) {
+        entry.reason = exchange.isExpired() ? "deadline exceeded: " + reason : reason;
+        context.requestLog().logEnd(outcome, entry);
+        caller.abort();
+        return false;
+    }
+
+    /** Stores the turn before the end of its answer is written; true if there is none to store. */
+    private boolean storeTurn(AnswerWriter writer) throws InterruptedException {
+        if (!route.storesTurns()) {
+            return true;
+        }
+        TurnRecord record =
+                new TurnRecord(
+                        call.requestId(),
+                        call.previousTurn(),
+                        input,
+                        writer.output(),
+                        route.retentionMs());
+        String program = call.hasTokenBudget() ? call.program() : "";
+        return context.ledger()
+                .append(
+                        program,
+                        record,
+                        writer.tokensWritten(),
+                        Math.max(1, exchange.remainingMs()));
+    }
+
+    private void settle(int tokens) {
+        context.ledger().settle(call.program(), call.requestId(), tokens, route.retentionMs());
+    }
+
+    private byte[] joinHistory(ChainOutcome.Found chain) {
+        ByteArrayOutputStream joined = new ByteArrayOutputStream();
+        for (TurnRecord turn : chain.turns()) {
+            joined.writeBytes(turn.input());
+            joined.writeBytes(turn.output());
+        }
+        joined.writeBytes(input);
+        return joined.toByteArray();
+    }
+
+    private long storageTimeoutMs() {
+        return Math.max(1, exchange.remainingMs() / Forwarder.STORAGE_TIMEOUT_DIVISOR);
+    }
+}
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
@@ -27,6 +27,8 @@
         String service = "";
         String runner = "";
         String runnerVersion = "";
+        String peer = "";
+        boolean fromPeer;
         OptionalDouble runnerLimit = OptionalDouble.empty();
         long limitDelayMs;
         String resumedRequestId = "";
@@ -102,6 +104,8 @@
                 .addKeyValue("service", entry.service)
                 .addKeyValue("runner", entry.runner)
                 .addKeyValue("runnerVersion", entry.runnerVersion)
+                .addKeyValue("peer", entry.peer)
+                .addKeyValue("fromPeer", entry.fromPeer)
                 .addKeyValue("runnerLimit", toText(entry.runnerLimit))
                 .addKeyValue("limitDelayMs", entry.limitDelayMs)
                 .addKeyValue("resumes", entry.resumedRequestId)
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
@@ -88,6 +88,22 @@
         /** The time until the head of the answer is limited by the deadline only. */
         static final long NO_HEAD_TIMEOUT = 0;
 
+        /** Returns this request with {@code other} as its fields. */
+        OutboundRequest withFields(HeaderFields other) {
+            return new OutboundRequest(
+                    requestId,
+                    method,
+                    target,
+                    other,
+                    body,
+                    priority,
+                    units,
+                    prompt,
+                    stream,
+                    streamEndHook,
+                    headTimeoutMs);
+        }
+
         /** Returns this request with a maximum of {@code ms} until the head of the answer. */
         OutboundRequest withHeadTimeoutMs(long ms) {
             return new OutboundRequest(
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
@@ -6,6 +6,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.skylarkmast.relay.limit.RunnerRateLimits;
@@ -80,6 +81,7 @@
     private final AnswerWriter writer;
     private final OriginBinding binding;
     private final boolean continuesProgram;
+    private final BooleanSupplier mayLeaveToPeer;
     private final RateLimitWait rateLimitWait;
 
     /** Runners that may have run the request, by incarnation; limited by the route. */
@@ -98,6 +100,7 @@
     /**
      * @param observers returns the observer of a send to a runner
      * @param continuesProgram whether the request belongs to a program that has got answers before
+     * @param mayLeaveToPeer whether this node reaches no runner and another may serve the request
      */
     RetryLoop(
             RunnerPool pool,
@@ -110,7 +113,8 @@
             Exchange exchange,
             AnswerWriter writer,
             OriginBinding binding,
-            boolean continuesProgram) {
+            boolean continuesProgram,
+            BooleanSupplier mayLeaveToPeer) {
         this.pool = pool;
         this.limits = admission.limits();
         this.sender = sender;
@@ -122,6 +126,7 @@
         this.writer = writer;
         this.binding = binding;
         this.continuesProgram = continuesProgram;
+        this.mayLeaveToPeer = mayLeaveToPeer;
         this.rateLimitWait =
                 new RateLimitWait(
                         admission,
@@ -136,8 +141,15 @@
      *
      * @param result result of the last send
      * @param refusal error answer to generate for the caller, or null
+     * @param leftToPeer whether another entry node may serve the request, since this one reaches no
+     *     runner
      */
-    record Outcome(SendResult result, Refusal refusal) {}
+    record Outcome(SendResult result, Refusal refusal, boolean leftToPeer) {
+
+        Outcome(SendResult result, Refusal refusal) {
+            this(result, refusal, false);
+        }
+    }
 
     String lastRunner() {
         return lastRunner;
@@ -165,6 +177,11 @@
         return sendsToLimitedRunners;
     }
 
+    /** Number of further runners to which the request may be sent. */
+    int remainingAttempts() {
+        return route.maxAttempts() - attemptedRunners.size();
+    }
+
     /** Whether any runner may have run the request. */
     boolean mayHaveRun() {
         return !attemptedRunners.isEmpty();
@@ -179,6 +196,9 @@
             if (exchange.isExpired() || sends >= MAX_SENDS) {
                 return new Outcome(last, timeoutRefusal(last));
             }
+            if (mayLeaveToPeer.getAsBoolean() && !writer.hasBegun() && remainingAttempts() > 0) {
+                return new Outcome(last, null, true);
+            }
             Runner runner = chooseRunner();
             if (runner == null) {
                 Outcome outcome = withoutRunner(last);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerContact.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerContact.java
@@ -11,14 +11,23 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Logs and counts this node's contact with runners; thread-safe. */
+/** Logs and counts this node's contact with runners, of all services together; thread-safe. */
 public final class RunnerContact {
     private static final Logger LOG = LoggerFactory.getLogger(RunnerContact.class);
     private static final double MS_PER_S = 1e3;
 
+    /**
+     * Time without a sign of life of any runner while a request waits, from which the node may be
+     * cut off. Runners answer within tens of ms, and one of many always does.
+     */
+    private static final long SUSPICIOUS_SILENCE_MS = 250;
+
     private final LongSupplier clockNs;
     private final Counter connects;
-    private volatile long lastSignOfLifeNs;
+    private long lastSignOfLifeNs;
+    private long waitingSinceNs;
+    private int waiting;
+    private boolean connectFailed;
 
     /**
      * @param clockNs monotonic clock, in ns
@@ -43,7 +52,7 @@
     void recordConnected(boolean reused) {
         connects.labelValues(reused ? "reused" : "opened").inc();
         if (!reused) {
-            recordAnswer();
+            recordAccepted();
         }
     }
 
@@ -56,6 +65,9 @@
                     default -> "failed";
                 };
         connects.labelValues(outcome).inc();
+        synchronized (this) {
+            connectFailed = true;
+        }
         LOG.atInfo()
                 .addKeyValue("event", "runner_connect_failed")
                 .addKeyValue("runner", runner.id())
@@ -66,12 +78,44 @@
                 .log();
     }
 
+    /** Records that a request is about to be sent and then waits for an answer. */
+    synchronized void recordWaiting() {
+        if (waiting++ == 0) {
+            waitingSinceNs = clockNs.getAsLong();
+        }
+    }
+
+    /** Records that a request no longer waits for an answer. */
+    synchronized void recordWaitEnded() {
+        waiting--;
+    }
+
     /** Records that a runner answered. */
-    void recordAnswer() {
+    synchronized void recordAnswer() {
         lastSignOfLifeNs = clockNs.getAsLong();
     }
 
-    private long silenceMs() {
+    /** Records that a runner accepted a new connection. */
+    public synchronized void recordAccepted() {
+        lastSignOfLifeNs = clockNs.getAsLong();
+        connectFailed = false;
+    }
+
+    /**
+     * Whether this node may be cut off from all runners: none has accepted a connection since a
+     * connect failed, or none has given a sign of life for a while although a request waits.
+     */
+    public synchronized boolean suggestsCutOff() {
+        if (connectFailed) {
+            return true;
+        }
+        long silentSinceNs = Math.max(lastSignOfLifeNs, waitingSinceNs);
+        return waiting > 0
+                && clockNs.getAsLong() - silentSinceNs
+                        >= TimeUnit.MILLISECONDS.toNanos(SUSPICIOUS_SILENCE_MS);
+    }
+
+    private synchronized long silenceMs() {
         return TimeUnit.NANOSECONDS.toMillis(clockNs.getAsLong() - lastSignOfLifeNs);
     }
 }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerObserver.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerObserver.java
@@ -22,6 +22,7 @@
     private final WireDialect dialect;
     private final RequestSender.OutboundRequest request;
     private final Runner runner;
+    private boolean waiting;
 
     RunnerObserver(
             RunnerPool pool,
@@ -52,11 +53,14 @@
     @Override
     public void sending() {
         pool.recordStart(runner);
+        contact.recordWaiting();
+        waiting = true;
     }
 
     @Override
     public void answered(RunnerAnswer answer) {
         contact.recordAnswer();
+        endWait();
         dialect.reportedLoad(answer.fields()).ifPresent(load -> pool.recordLoad(runner, load));
         // A misdirected request was answered by another runner.
         if (answer.status() != MISDIRECTED_REQUEST) {
@@ -93,5 +97,13 @@
     @Override
     public void ended() {
         pool.recordEnd(runner);
+        endWait();
+    }
+
+    private void endWait() {
+        if (waiting) {
+            waiting = false;
+            contact.recordWaitEnded();
+        }
     }
 }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/WireDialect.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/WireDialect.java
@@ -24,6 +24,14 @@
      */
     HeaderFields toRunnerFields(HeaderFields callerFields, SendOptions options);
 
+    /**
+     * Returns the fields of a request that another entry node serves.
+     *
+     * @param callerFields end-to-end fields of the caller
+     * @param options only the deadline applies; the other node sets the rest itself
+     */
+    HeaderFields toPeerFields(HeaderFields callerFields, SendOptions options);
+
     /** Returns the request id that an answer carries, or null. */
     String answeredRequestId(HeaderFields runnerFields);
 
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/EntryNodeReport.java
@@ -0,0 +1,24 @@
+package org.skylarkmast.relay.loadreport;
+
+import java.util.List;
+import org.skylarkmast.relay.limit.RateLimitReport;
+
+/**
+ * What an entry node reports to a storage node.
+ *
+ * @param process name of its process, different after each start
+ * @param runners what it observed of runners since its last report
+ * @param rateLimits what runners stated about their rate limits
+ * @param peerAddress {@code host:port} at which it takes requests of other entry nodes; empty if it
+ *     takes none at present
+ */
+public record EntryNodeReport(
+        String process,
+        List<RunnerLoadReport> runners,
+        List<RateLimitReport> rateLimits,
+        String peerAddress) {
+    public EntryNodeReport {
+        runners = List.copyOf(runners);
+        rateLimits = List.copyOf(rateLimits);
+    }
+}
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportAggregator.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportAggregator.java
@@ -1,12 +1,14 @@
 package org.skylarkmast.relay.loadreport;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.function.LongSupplier;
-import org.skylarkmast.relay.limit.RateLimitReport;
 import org.skylarkmast.relay.limit.RateLimitReports;
+import org.skylarkmast.relay.peer.PeerNode;
 
 /**
  * Adds up the load reports of entry nodes and the totals of other storage nodes; thread-safe, no
@@ -34,11 +36,21 @@
     /** Time for which a runner or storage node is kept without a new report about or from it. */
     private static final long RETENTION_MS = 60_000;
 
+    /** Age of its last report above which an entry node is not named as a peer. */
+    private static final long PEER_MAX_AGE_MS = 2_500;
+
+    /** Peers named to an entry node: enough that one of them still takes requests. */
+    private static final int PEERS_PER_REPORTER = 4;
+
+    /** Peers that a storage node names to another one. */
+    private static final int PEERS_EXCHANGED = 16;
+
     private static final double NS_PER_MS = 1e6;
 
     private final LongSupplier clockNs;
+    private final Random random;
     private final Map<String, RunnerTotals> totalsByIncarnation = new HashMap<>();
-    private final Map<String, Long> reportedNsByReporter = new HashMap<>();
+    private final Map<String, Reporter> reporters = new HashMap<>();
     private final Map<String, PeerTotals> totalsByPeer = new HashMap<>();
     private final RateLimitReports rateLimits;
 
@@ -62,29 +74,36 @@
 
     private record InFlight(int count, long reportedNs) {}
 
+    /**
+     * An entry node.
+     *
+     * @param peerAddress where it takes requests of other entry nodes, empty if it takes none
+     */
+    private record Reporter(String peerAddress, long reportedNs) {}
+
     private record PeerTotals(LoadReportTotals totals, long receivedNs) {}
 
     /**
      * @param clockNs monotonic clock, in ns
+     * @param random draws peers
      */
-    public LoadReportAggregator(LongSupplier clockNs) {
+    public LoadReportAggregator(LongSupplier clockNs, Random random) {
         this.clockNs = clockNs;
+        this.random = random;
         this.rateLimits = new RateLimitReports(clockNs);
     }
 
     /**
-     * Adds what {@code reporter} observed since its last report, and replaces its numbers of
-     * requests in flight.
-     *
-     * @param limits what runners stated to it, or to others, about their rate limits
+     * Adds what an entry node observed since its last report, and replaces its numbers of requests
+     * in flight.
      */
-    public synchronized void report(
-            String reporter, List<RunnerLoadReport> loadReports, List<RateLimitReport> limits) {
-        rateLimits.merge(limits);
+    public synchronized void report(EntryNodeReport report) {
+        String reporter = report.process();
+        rateLimits.merge(report.rateLimits());
         long nowNs = clockNs.getAsLong();
-        reportedNsByReporter.put(reporter, nowNs);
+        reporters.put(reporter, new Reporter(report.peerAddress(), nowNs));
         totalsByIncarnation.values().forEach(totals -> totals.inFlightByReporter.remove(reporter));
-        for (RunnerLoadReport loadReport : loadReports) {
+        for (RunnerLoadReport loadReport : report.runners()) {
             RunnerTotals totals =
                     totalsByIncarnation.computeIfAbsent(
                             loadReport.incarnation(),
@@ -118,14 +137,15 @@
     /** Returns the totals of the reporters of this storage node. */
     public synchronized LoadReportTotals localTotals() {
         long nowNs = clockNs.getAsLong();
-        reportedNsByReporter
+        reporters
                 .values()
-                .removeIf(reportedNs -> ageMs(reportedNs, nowNs) > REPORTER_MAX_AGE_MS);
+                .removeIf(reporter -> ageMs(reporter.reportedNs(), nowNs) > REPORTER_MAX_AGE_MS);
         List<RunnerLoadReport> localReports = new ArrayList<>(totalsByIncarnation.size());
         totalsByIncarnation.forEach(
                 (incarnation, totals) ->
                         localReports.add(toLoadReport(incarnation, totals, nowNs)));
-        return new LoadReportTotals(localReports, reportedNsByReporter.size(), rateLimits.newest());
+        return new LoadReportTotals(
+                localReports, reporters.size(), rateLimits.newest(), localPeers(nowNs));
     }
 
     /**
@@ -139,9 +159,13 @@
         LoadReportTotals local = localTotals();
         local.runners().forEach(loadReport -> merged.put(loadReport.incarnation(), loadReport));
         int entryNodes = local.entryNodes();
+        List<PeerNode> peers = new ArrayList<>(local.peers());
         for (PeerTotals peer : totalsByPeer.values()) {
             double ageMs = ageMs(peer.receivedNs(), nowNs);
             entryNodes += ageMs > REPORTER_MAX_AGE_MS ? 0 : peer.totals().entryNodes();
+            if (ageMs <= PEER_MAX_AGE_MS) {
+                peers.addAll(peer.totals().peers());
+            }
             for (RunnerLoadReport loadReport : peer.totals().runners()) {
                 merged.merge(
                         loadReport.incarnation(),
@@ -149,7 +173,38 @@
                         LoadReportAggregator::add);
             }
         }
-        return new LoadReportTotals(List.copyOf(merged.values()), entryNodes, local.rateLimits());
+        return new LoadReportTotals(
+                List.copyOf(merged.values()), entryNodes, local.rateLimits(), peers);
+    }
+
+    /**
+     * Returns the totals of all reporters for one of them, with a few other entry nodes drawn at
+     * random as its peers.
+     */
+    public synchronized LoadReportTotals fleetTotalsFor(String reporter) {
+        LoadReportTotals totals = fleetTotals();
+        List<PeerNode> others = new ArrayList<>(totals.peers());
+        others.removeIf(peer -> peer.process().equals(reporter));
+        Collections.shuffle(others, random);
+        return new LoadReportTotals(
+                totals.runners(),
+                totals.entryNodes(),
+                totals.rateLimits(),
+                others.subList(0, Math.min(PEERS_PER_REPORTER, others.size())));
+    }
+
+    /** Entry nodes that take requests of others; a bounded number, in a large fleet drawn anew. */
+    private List<PeerNode> localPeers(long nowNs) {
+        List<PeerNode> peers = new ArrayList<>();
+        reporters.forEach(
+                (process, reporter) -> {
+                    if (!reporter.peerAddress().isEmpty()
+                            && ageMs(reporter.reportedNs(), nowNs) <= PEER_MAX_AGE_MS) {
+                        peers.add(new PeerNode(process, reporter.peerAddress()));
+                    }
+                });
+        Collections.shuffle(peers, random);
+        return peers.subList(0, Math.min(PEERS_EXCHANGED, peers.size()));
     }
 
     private static RunnerLoadReport toLoadReport(
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportCodec.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportCodec.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.skylarkmast.relay.limit.RateLimitReport;
+import org.skylarkmast.relay.peer.PeerNode;
 
 /** Encodes and decodes load reports in the binary format of the JDK's data streams. */
 public final class LoadReportCodec {
@@ -57,12 +58,35 @@
         return loadReports;
     }
 
+    /** Writes the report of an entry node. */
+    public static void writeReport(DataOutputStream out, EntryNodeReport report)
+            throws IOException {
+        out.writeUTF(report.process());
+        write(out, report.runners());
+        writeRateLimits(out, report.rateLimits());
+        out.writeUTF(report.peerAddress());
+    }
+
+    /**
+     * Reads the report of an entry node; those of an earlier release report runners only.
+     *
+     * @throws IOException as {@link #read}
+     */
+    public static EntryNodeReport readReport(DataInputStream in) throws IOException {
+        return new EntryNodeReport(
+                in.readUTF(),
+                read(in),
+                readRateLimits(in),
+                in.available() == 0 ? "" : in.readUTF());
+    }
+
     /** Writes totals. */
     public static void writeTotals(DataOutputStream out, LoadReportTotals totals)
             throws IOException {
         write(out, totals.runners());
         out.writeInt(totals.entryNodes());
         writeRateLimits(out, totals.rateLimits());
+        writePeers(out, totals.peers());
     }
 
     /**
@@ -73,12 +97,11 @@
     public static LoadReportTotals readTotals(DataInputStream in) throws IOException {
         List<RunnerLoadReport> runners = read(in);
         return in.available() == 0
-                ? new LoadReportTotals(runners, 0, List.of())
-                : new LoadReportTotals(runners, in.readInt(), readRateLimits(in));
+                ? new LoadReportTotals(runners, 0, List.of(), List.of())
+                : new LoadReportTotals(runners, in.readInt(), readRateLimits(in), readPeers(in));
     }
 
-    /** Writes what runners stated about their rate limits. */
-    public static void writeRateLimits(DataOutputStream out, List<RateLimitReport> rateLimits)
+    private static void writeRateLimits(DataOutputStream out, List<RateLimitReport> rateLimits)
             throws IOException {
         out.writeInt(rateLimits.size());
         for (RateLimitReport rateLimit : rateLimits) {
@@ -88,12 +111,7 @@
         }
     }
 
-    /**
-     * Reads what runners stated about their rate limits; nodes of an earlier release send none.
-     *
-     * @throws IOException if the data ends early or the count is out of range
-     */
-    public static List<RateLimitReport> readRateLimits(DataInputStream in) throws IOException {
+    private static List<RateLimitReport> readRateLimits(DataInputStream in) throws IOException {
         int count = in.available() == 0 ? 0 : readCount(in);
         List<RateLimitReport> rateLimits = new ArrayList<>();
         for (int i = 0; i < count; i++) {
@@ -102,6 +120,23 @@
         return rateLimits;
     }
 
+    private static void writePeers(DataOutputStream out, List<PeerNode> peers) throws IOException {
+        out.writeInt(peers.size());
+        for (PeerNode peer : peers) {
+            out.writeUTF(peer.process());
+            out.writeUTF(peer.address());
+        }
+    }
+
+    private static List<PeerNode> readPeers(DataInputStream in) throws IOException {
+        int count = in.available() == 0 ? 0 : readCount(in);
+        List<PeerNode> peers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            peers.add(new PeerNode(in.readUTF(), in.readUTF()));
+        }
+        return peers;
+    }
+
     private static int readCount(DataInputStream in) throws IOException {
         int count = in.readInt();
         if (count < 0 || count > MAX_LOAD_REPORTS) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import org.skylarkmast.relay.forward.Forwarder;
 import org.skylarkmast.relay.http.CallerConnection;
 import org.skylarkmast.relay.http.HeadTooLargeException;
 import org.skylarkmast.relay.http.HeaderFields;
@@ -23,7 +22,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Accepts connections from callers and serves each on its own virtual thread. */
+/**
+ * Accepts connections from callers, or from other entry nodes, and serves each on its own virtual
+ * thread.
+ */
 public final class CallerServer implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(CallerServer.class);
 
@@ -35,7 +37,7 @@
     private static final int LINGER_MS = 500;
 
     private final ServerSocket listener;
-    private final Forwarder forwarder;
+    private final RequestServer requests;
     private final RoutingState routing;
     private final ScheduledExecutorService timers;
     private final Set<OpenConnection> openConnections = ConcurrentHashMap.newKeySet();
@@ -72,11 +74,11 @@
     /** Starts accepting from {@code listener}, which {@link #close} closes. */
     public CallerServer(
             ServerSocket listener,
-            Forwarder forwarder,
+            RequestServer requests,
             RoutingState routing,
             ScheduledExecutorService timers) {
         this.listener = listener;
-        this.forwarder = forwarder;
+        this.requests = requests;
         this.routing = routing;
         this.timers = timers;
         Thread.ofPlatform().name("accept").daemon().start(this::accept);
@@ -194,7 +196,7 @@
         }
         socket.setSoTimeout(0);
         boolean reusable =
-                forwarder.serve(connection, request, body, () -> draining || !request.persistent());
+                requests.serve(connection, request, body, () -> draining || !request.persistent());
         if (!reusable) {
             connection.close();
         }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.ServerSocket;
+import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -16,9 +17,11 @@
 import org.skylarkmast.http.HttpReply;
 import org.skylarkmast.http.HttpServer;
 import org.skylarkmast.relay.forward.Forwarder;
+import org.skylarkmast.relay.forward.PeerRelay;
 import org.skylarkmast.relay.forward.RequestLog;
 import org.skylarkmast.relay.forward.RunnerContact;
 import org.skylarkmast.relay.forward.WireDialect;
+import org.skylarkmast.relay.http.RunnerConnection;
 import org.skylarkmast.relay.http.RunnerConnectionPool;
 import org.skylarkmast.relay.ledger.CurrentView;
 import org.skylarkmast.relay.ledger.LedgerClient;
@@ -31,7 +34,10 @@
 import org.skylarkmast.relay.mirror.KeyRange;
 import org.skylarkmast.relay.mirror.MirrorClient;
 import org.skylarkmast.relay.mirror.StoreMirror;
+import org.skylarkmast.relay.peer.PeerDirectory;
+import org.skylarkmast.relay.peer.RunnerReachability;
 import org.skylarkmast.relay.route.RoutingState;
+import org.skylarkmast.relay.runner.Runner;
 import org.skylarkmast.relay.runner.RunnerChooser;
 import org.skylarkmast.relay.runner.RunnerDirectory;
 import org.skylarkmast.relay.runner.RunnerPool;
@@ -47,6 +53,14 @@
     private static final long SWEEP_MS = 300;
     private static final long DRAIN_POLL_MS = 20;
 
+    /**
+     * Pause between checks of the contact with runners; a check without suspicion costs nothing.
+     */
+    private static final long REACHABILITY_CHECK_MS = 100;
+
+    /** Maximum wait for a runner to accept a probe; connecting takes a few milliseconds. */
+    private static final int PROBE_TIMEOUT_MS = 250;
+
     /** Pause between load reports; faults of runners last for seconds. */
     private static final long REPORT_MS = 1000;
 
@@ -63,7 +77,12 @@
     private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
     private final CurrentView views;
     private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final RunnerConnectionPool runnerConnections = new RunnerConnectionPool();
+    private final RunnerConnectionPool peerConnections = new RunnerConnectionPool();
+    private final PeerDirectory peers = new PeerDirectory();
+    private final RunnerReachability reachability;
     private final CallerServer callerServer;
+    private final CallerServer peerServer;
     private final LedgerClient ledger;
     private final AtomicInteger entryNodeCount = new AtomicInteger();
     private volatile boolean draining;
@@ -78,9 +97,10 @@
         // Bound first: callers that connect during the rest of the start wait about 100 ms and are
         // then served instead of refused.
         ServerSocket listener = CallerServer.bind(settings.callersAddress());
-        RunnerConnectionPool connections = new RunnerConnectionPool();
-        AtomicReference<Runnable> onNewView = new AtomicReference<>();
-        views = new CurrentView(view -> onNewView.get().run());
+        ServerSocket peerListener =
+                CallerServer.bind(settings.ip() + ":" + settings.internalPort());
+        AtomicReference<Runnable> reportNow = new AtomicReference<>();
+        views = new CurrentView(view -> onNewView(reportNow.get()));
         StorageNodeClient storageNodes =
                 new StorageNodeClient(
                         new HttpClient(
@@ -89,36 +109,36 @@
         ledger = new LedgerClient(views, storageNodes, networkOf(settings.ip()), executor);
         SendAdmission admission = createAdmission(storageNodes);
         RunnerPool pool = createPool(admission);
+        RunnerContact contact = new RunnerContact(System::nanoTime, registry);
+        reachability = createReachability(contact, () -> executor.execute(reportNow.get()));
         Forwarder forwarder =
                 new Forwarder(
                         routing,
                         pool,
-                        connections,
+                        runnerConnections,
                         admission,
-                        new RunnerContact(System::nanoTime, registry),
+                        contact,
+                        new PeerRelay(reachability, peers, peerConnections, dialect, timers),
                         dialect,
                         ledger,
                         new RequestLog(registry),
                         executor,
                         timers,
                         () -> ThreadLocalRandom.current().nextDouble());
-        callerServer = new CallerServer(listener, forwarder, routing, timers);
+        callerServer = new CallerServer(listener, forwarder::serve, routing, timers);
+        peerServer = new CallerServer(peerListener, forwarder::servePeer, routing, timers);
         LoadReporter reporter =
                 new LoadReporter(
                         settings.node() + "/" + System.nanoTime(),
                         pool,
                         admission.limits(),
+                        peers,
+                        this::peerAddress,
                         ledger,
                         entryNodeCount::set);
-        // A new view may contain storage nodes that have never been probed, and a node that has
-        // just started needs what the others know of runners before its first sends.
-        onNewView.set(
-                () -> {
-                    executor.execute(ledger::probe);
-                    executor.execute(logged("report_failed", reporter::report));
-                });
-        startPeriodicTasks(connections, pool, admission, reporter);
-        registerGauges(connections, admission);
+        reportNow.set(logged("report_failed", reporter::report));
+        startPeriodicTasks(pool, admission, reportNow.get());
+        registerGauges(admission);
         NodeEndpoints.start(settings.ip(), settings.metricsPort(), registry);
         startReadinessEndpoint(settings.readinessAddress());
         LOG.atInfo()
@@ -127,6 +147,47 @@
                 .log();
     }
 
+    /**
+     * A new view may contain storage nodes that have never been probed, and a node that has just
+     * started needs what the others know of runners before its first sends.
+     */
+    private void onNewView(Runnable report) {
+        executor.execute(ledger::probe);
+        executor.execute(report);
+    }
+
+    /** Returns where this node takes requests of other entry nodes, empty while it takes none. */
+    private String peerAddress() {
+        return ready() && !reachability.isCutOff() ? settings.ip() + ":" + peerServer.port() : "";
+    }
+
+    private RunnerReachability createReachability(RunnerContact contact, Runnable onChange) {
+        return new RunnerReachability(
+                directory::all,
+                contact::suggestsCutOff,
+                runner -> acceptsConnection(runner, contact),
+                onChange,
+                executor,
+                System::nanoTime,
+                new Random(),
+                registry);
+    }
+
+    private static boolean acceptsConnection(Runner runner, RunnerContact contact) {
+        try {
+            RunnerConnection.open(runner.address(), PROBE_TIMEOUT_MS).abort();
+            contact.recordAccepted();
+            return true;
+        } catch (IOException e) {
+            LOG.atDebug()
+                    .addKeyValue("event", "probe_failed")
+                    .addKeyValue("runner", runner.id())
+                    .addKeyValue("reason", e.getMessage())
+                    .log();
+            return false;
+        }
+    }
+
     private RunnerPool createPool(SendAdmission admission) {
         RunnerChooser chooser =
                 new RunnerChooser(
@@ -145,7 +206,7 @@
                 registry);
     }
 
-    private void registerGauges(RunnerConnectionPool connections, SendAdmission admission) {
+    private void registerGauges(SendAdmission admission) {
         gauge(
                 "skylarkmast_caller_connections",
                 "Open connections of callers.",
@@ -153,37 +214,40 @@
         gauge(
                 "skylarkmast_runner_connections_opened",
                 "Connections opened to runners.",
-                connections::openedCount);
+                runnerConnections::openedCount);
         gauge(
                 "skylarkmast_runners_limited",
                 "Runners that state a rate limit to this node.",
                 () -> admission.limits().limitedCount());
     }
 
-    private void startPeriodicTasks(
-            RunnerConnectionPool connections,
-            RunnerPool pool,
-            SendAdmission admission,
-            LoadReporter reporter) {
+    private void startPeriodicTasks(RunnerPool pool, SendAdmission admission, Runnable report) {
         Runnable housekeeping =
                 logged(
                         "housekeeping_failed",
                         () -> {
                             ledger.probe();
-                            connections.evictUnusable(directory::isRegistered);
+                            runnerConnections.evictUnusable(directory::isRegistered);
+                            peerConnections.evictUnusable(process -> true);
                             pool.removeUnregistered();
                             admission.retain(directory::isRegistered);
                         });
-        Runnable report = logged("report_failed", reporter::report);
-        var _ =
-                timers.scheduleWithFixedDelay(
-                        housekeeping, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        var _ =
-                timers.scheduleWithFixedDelay(
-                        () -> executor.execute(report),
-                        REPORT_MS,
-                        REPORT_MS,
-                        TimeUnit.MILLISECONDS);
+        Runnable check = logged("reachability_check_failed", this::checkReachability);
+        schedule(housekeeping, SWEEP_MS);
+        schedule(() -> executor.execute(report), REPORT_MS);
+        schedule(() -> executor.execute(check), REACHABILITY_CHECK_MS);
+    }
+
+    private void schedule(Runnable task, long pauseMs) {
+        var _ = timers.scheduleWithFixedDelay(task, pauseMs, pauseMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void checkReachability() {
+        try {
+            reachability.check();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Wraps {@code task} to log its exceptions, which the executors would discard. */
@@ -239,18 +303,20 @@
         return callerServer.port();
     }
 
-    /** Stops accepting connections from callers. */
+    /** Stops accepting connections from callers and other entry nodes. */
     @Override
     public void close() {
         callerServer.close();
+        peerServer.close();
     }
 
     /**
-     * Whether the node can serve new callers: it has a configuration, reaches the ledger and is not
-     * draining.
+     * Whether the node can serve new callers: it has a configuration, reaches the ledger, reaches
+     * runners or knows an entry node that does, and is not draining.
      */
     public boolean ready() {
-        return !draining && routing.current() != null && ledger.reachable();
+        boolean servesRequests = !reachability.isCutOff() || !peers.isEmpty();
+        return !draining && routing.current() != null && ledger.reachable() && servesRequests;
     }
 
     /**
@@ -265,14 +331,16 @@
         long startedNs = System.nanoTime();
         draining = true;
         callerServer.drain();
+        peerServer.drain();
         long maxMs = (long) (settings.graceMs() * (1 - UNUSED_GRACE_FRACTION));
         try {
             while (elapsedMs(startedNs) < Math.min(READINESS_NOTICE_MS, maxMs)) {
                 Thread.sleep(DRAIN_POLL_MS);
             }
-            callerServer.close();
-            while (callerServer.connectionCount() > 0 && elapsedMs(startedNs) < maxMs) {
+            close();
+            while (openConnections() > 0 && elapsedMs(startedNs) < maxMs) {
                 callerServer.closeIdle();
+                peerServer.closeIdle();
                 Thread.sleep(DRAIN_POLL_MS);
             }
         } catch (InterruptedException e) {
@@ -280,11 +348,15 @@
         }
         LOG.atInfo()
                 .addKeyValue("event", "drain_ended")
-                .addKeyValue("openConnections", callerServer.connectionCount())
+                .addKeyValue("openConnections", openConnections())
                 .addKeyValue("tookMs", elapsedMs(startedNs))
                 .log();
     }
 
+    private int openConnections() {
+        return callerServer.connectionCount() + peerServer.connectionCount();
+    }
+
     private static long elapsedMs(long startedNs) {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs);
     }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Random;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -53,7 +54,8 @@
 
     private final Semaphore wakeUps = new Semaphore(0);
     private final CurrentView views = new CurrentView(view -> wakeUps.release());
-    private final LoadReportAggregator loadReports = new LoadReportAggregator(System::nanoTime);
+    private final LoadReportAggregator loadReports =
+            new LoadReportAggregator(System::nanoTime, new Random());
     private final RecordIndex index;
     private final QuorumMembership membership;
     private final LedgerView.Member self;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/Route.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/Route.java
@@ -38,6 +38,23 @@
         services = List.copyOf(services);
     }
 
+    /** Returns this route with another limit of runners for one attempt. */
+    public Route withMaxAttempts(int limit) {
+        return new Route(
+                name,
+                host,
+                pathPrefix,
+                kind,
+                timeoutMs,
+                objectiveMs,
+                priority,
+                services,
+                limit,
+                storesTurns,
+                retentionMs,
+                resumable);
+    }
+
     /** Whether a request that may have run may be sent again. */
     public boolean retryable() {
         return kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAM && resumable);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerDirectory.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerDirectory.java
@@ -24,6 +24,11 @@
         return availableByService.getOrDefault(service, List.of());
     }
 
+    /** Returns the registered runners of all services, draining or not. */
+    public synchronized List<Runner> all() {
+        return List.copyOf(runners.values());
+    }
+
     /** Whether an incarnation is registered, draining or not. */
     public boolean isRegistered(String incarnation) {
         return incarnations.contains(incarnation);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/StorageNodeHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/StorageNodeHandler.java
@@ -25,9 +25,10 @@
 import org.skylarkmast.relay.limit.SendGrant;
 import org.skylarkmast.relay.limit.SendGrantCodec;
 import org.skylarkmast.relay.limit.SendRateLimiter;
+import org.skylarkmast.relay.loadreport.EntryNodeReport;
 import org.skylarkmast.relay.loadreport.LoadReportAggregator;
 import org.skylarkmast.relay.loadreport.LoadReportCodec;
-import org.skylarkmast.relay.loadreport.RunnerLoadReport;
+import org.skylarkmast.relay.loadreport.LoadReportTotals;
 import org.skylarkmast.relay.mirror.MirrorChanges;
 import org.skylarkmast.relay.mirror.MirrorCodec;
 import org.skylarkmast.relay.mirror.MirrorExchange;
@@ -162,10 +163,10 @@
     }
 
     private HttpReply report(DataInputStream in) throws IOException {
-        String reporter = in.readUTF();
-        List<RunnerLoadReport> observed = LoadReportCodec.read(in);
-        loadReports.report(reporter, observed, LoadReportCodec.readRateLimits(in));
-        return reply(out -> LoadReportCodec.writeTotals(out, loadReports.fleetTotals()));
+        EntryNodeReport report = LoadReportCodec.readReport(in);
+        loadReports.report(report);
+        LoadReportTotals totals = loadReports.fleetTotalsFor(report.process());
+        return reply(out -> LoadReportCodec.writeTotals(out, totals));
     }
 
     private HttpReply reserve(DataInputStream in) throws IOException {
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/loadreport/LoadReportAggregatorTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/loadreport/LoadReportAggregatorTest.java
@@ -3,17 +3,19 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.skylarkmast.relay.ledger.LedgerCodec;
 import org.skylarkmast.relay.limit.RateLimitReport;
+import org.skylarkmast.relay.peer.PeerNode;
 
 /** Tests adding up load reports about a runner, their decay and expiry, and their encoding. */
 class LoadReportAggregatorTest {
     private long nowMs;
 
     private LoadReportAggregator aggregator() {
-        return new LoadReportAggregator(() -> TimeUnit.MILLISECONDS.toNanos(nowMs));
+        return new LoadReportAggregator(() -> TimeUnit.MILLISECONDS.toNanos(nowMs), new Random(1));
     }
 
     private static RunnerLoadReport loadReport(
@@ -25,9 +27,9 @@
     void addsUpReportersAndOtherStorageNodes() {
         LoadReportAggregator here = aggregator();
         LoadReportAggregator there = aggregator();
-        here.report("a", List.of(loadReport(2, 100, 4, 1)), List.of());
-        here.report("b", List.of(loadReport(1, 60, 2, 0)), List.of());
-        there.report("c", List.of(loadReport(3, 200, 4, 3)), List.of());
+        here.report(new EntryNodeReport("a", List.of(loadReport(2, 100, 4, 1)), List.of(), ""));
+        here.report(new EntryNodeReport("b", List.of(loadReport(1, 60, 2, 0)), List.of(), ""));
+        there.report(new EntryNodeReport("c", List.of(loadReport(3, 200, 4, 3)), List.of(), ""));
         here.putPeerTotals("there", there.localTotals());
         RunnerLoadReport total = here.fleetTotals().runners().getFirst();
         assertThat(total.inFlight()).isEqualTo(6);
@@ -40,17 +42,19 @@
     @Test
     void reportReplacesItsReportersRequestsInFlight() {
         LoadReportAggregator aggregator = aggregator();
-        aggregator.report("a", List.of(loadReport(5, 0, 0, 0)), List.of());
-        aggregator.report("a", List.of(loadReport(2, 10, 1, 0)), List.of());
+        aggregator.report(new EntryNodeReport("a", List.of(loadReport(5, 0, 0, 0)), List.of(), ""));
+        aggregator.report(
+                new EntryNodeReport("a", List.of(loadReport(2, 10, 1, 0)), List.of(), ""));
         assertThat(aggregator.fleetTotals().runners().getFirst().inFlight()).isEqualTo(2);
-        aggregator.report("a", List.of(), List.of());
+        aggregator.report(new EntryNodeReport("a", List.of(), List.of(), ""));
         assertThat(aggregator.fleetTotals().runners().getFirst().inFlight()).isEqualTo(0);
     }
 
     @Test
     void requestsInFlightExpireWhenTheirReporterStops() {
         LoadReportAggregator aggregator = aggregator();
-        aggregator.report("a", List.of(loadReport(5, 10, 1, 0)), List.of());
+        aggregator.report(
+                new EntryNodeReport("a", List.of(loadReport(5, 10, 1, 0)), List.of(), ""));
         nowMs += 3_100;
         assertThat(aggregator.fleetTotals().runners().getFirst().inFlight()).isEqualTo(0);
     }
@@ -58,7 +62,8 @@
     @Test
     void failuresDecay() {
         LoadReportAggregator aggregator = aggregator();
-        aggregator.report("a", List.of(loadReport(0, 100, 8, 8)), List.of());
+        aggregator.report(
+                new EntryNodeReport("a", List.of(loadReport(0, 100, 8, 8)), List.of(), ""));
         nowMs += (long) LoadReportAggregator.FAILURE_HALF_LIFE_MS;
         assertThat(aggregator.fleetTotals().runners().getFirst().failed()).isWithin(0.1).of(4);
         nowMs += 10 * (long) LoadReportAggregator.FAILURE_HALF_LIFE_MS;
@@ -68,9 +73,10 @@
     @Test
     void runnersWithoutReportsExpire() {
         LoadReportAggregator aggregator = aggregator();
-        aggregator.report("a", List.of(loadReport(1, 100, 1, 0)), List.of());
+        aggregator.report(
+                new EntryNodeReport("a", List.of(loadReport(1, 100, 1, 0)), List.of(), ""));
         nowMs += 120_000;
-        aggregator.report("a", List.of(), List.of());
+        aggregator.report(new EntryNodeReport("a", List.of(), List.of(), ""));
         assertThat(aggregator.fleetTotals().runners()).isEmpty();
     }
 
@@ -85,10 +91,10 @@
     void countsEntryNodesOfAllStorageNodes() {
         LoadReportAggregator here = aggregator();
         LoadReportAggregator there = aggregator();
-        here.report("a", List.of(), List.of());
-        here.report("a", List.of(), List.of());
-        there.report("b", List.of(), List.of());
-        there.report("c", List.of(), List.of());
+        here.report(new EntryNodeReport("a", List.of(), List.of(), ""));
+        here.report(new EntryNodeReport("a", List.of(), List.of(), ""));
+        there.report(new EntryNodeReport("b", List.of(), List.of(), ""));
+        there.report(new EntryNodeReport("c", List.of(), List.of(), ""));
         here.putPeerTotals("there", there.localTotals());
         assertThat(here.fleetTotals().entryNodes()).isEqualTo(3);
         nowMs += 5_100;
@@ -99,9 +105,13 @@
     void keepsNewestStatementOfEachRunnersRateLimit() {
         LoadReportAggregator here = aggregator();
         LoadReportAggregator there = aggregator();
-        here.report("a", List.of(), List.of(new RateLimitReport("r", 9, 2_000)));
-        there.report("b", List.of(), List.of(new RateLimitReport("r", 4, 100)));
-        there.report("c", List.of(), List.of(new RateLimitReport("r", 6, 900)));
+        here.report(
+                new EntryNodeReport(
+                        "a", List.of(), List.of(new RateLimitReport("r", 9, 2_000)), ""));
+        there.report(
+                new EntryNodeReport("b", List.of(), List.of(new RateLimitReport("r", 4, 100)), ""));
+        there.report(
+                new EntryNodeReport("c", List.of(), List.of(new RateLimitReport("r", 6, 900)), ""));
         nowMs += 50;
         here.putPeerTotals("there", there.localTotals());
         assertThat(here.fleetTotals().rateLimits())
@@ -109,4 +119,33 @@
         nowMs += 30_000;
         assertThat(here.fleetTotals().rateLimits()).isEmpty();
     }
+
+    @Test
+    void namesEntryNodesThatTakeRequestsOfOthers() {
+        LoadReportAggregator here = aggregator();
+        LoadReportAggregator there = aggregator();
+        here.report(new EntryNodeReport("a", List.of(), List.of(), "10.0.0.1:7020"));
+        here.report(new EntryNodeReport("cut off", List.of(), List.of(), ""));
+        there.report(new EntryNodeReport("b", List.of(), List.of(), "10.0.0.2:7020"));
+        here.putPeerTotals("there", there.localTotals());
+        assertThat(here.fleetTotalsFor("a").peers())
+                .containsExactly(new PeerNode("b", "10.0.0.2:7020"));
+        assertThat(here.fleetTotalsFor("cut off").peers())
+                .containsExactly(
+                        new PeerNode("a", "10.0.0.1:7020"), new PeerNode("b", "10.0.0.2:7020"));
+        nowMs += 2_600;
+        assertThat(here.fleetTotalsFor("cut off").peers()).isEmpty();
+    }
+
+    @Test
+    void namesFewPeersInALargeFleet() {
+        LoadReportAggregator aggregator = aggregator();
+        for (int i = 0; i < 67; i++) {
+            String process = "n" + i;
+            aggregator.report(
+                    new EntryNodeReport(process, List.of(), List.of(), process + ":7020"));
+        }
+        assertThat(aggregator.fleetTotalsFor("n1").peers()).hasSize(4);
+        assertThat(aggregator.localTotals().peers()).hasSize(16);
+    }
 }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/loadreport/LoadReportCodecTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/loadreport/LoadReportCodecTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.skylarkmast.relay.ledger.LedgerCodec;
 import org.skylarkmast.relay.limit.RateLimitReport;
+import org.skylarkmast.relay.peer.PeerNode;
 
 class LoadReportCodecTest {
     private static final RunnerLoadReport REPORT = new RunnerLoadReport("r", 1, 2, 3, 4, 5);
@@ -15,7 +16,10 @@
     void readsTotalsThatItWrote() throws IOException {
         LoadReportTotals totals =
                 new LoadReportTotals(
-                        List.of(REPORT), 6, List.of(new RateLimitReport("r", 9.4, 120)));
+                        List.of(REPORT),
+                        6,
+                        List.of(new RateLimitReport("r", 9.4, 120)),
+                        List.of(new PeerNode("p", "127.0.0.1:1")));
         byte[] bytes = LedgerCodec.encode(out -> LoadReportCodec.writeTotals(out, totals));
         assertThat(LedgerCodec.decode(bytes, LoadReportCodec::readTotals)).isEqualTo(totals);
     }
@@ -24,13 +28,37 @@
     void readsTotalsOfEarlierRelease() throws IOException {
         byte[] bytes = LedgerCodec.encode(out -> LoadReportCodec.write(out, List.of(REPORT)));
         assertThat(LedgerCodec.decode(bytes, LoadReportCodec::readTotals))
-                .isEqualTo(new LoadReportTotals(List.of(REPORT), 0, List.of()));
+                .isEqualTo(new LoadReportTotals(List.of(REPORT), 0, List.of(), List.of()));
     }
 
     @Test
     void earlierReleaseReadsTotals() throws IOException {
-        LoadReportTotals totals = new LoadReportTotals(List.of(REPORT), 6, List.of());
+        LoadReportTotals totals = new LoadReportTotals(List.of(REPORT), 6, List.of(), List.of());
         byte[] bytes = LedgerCodec.encode(out -> LoadReportCodec.writeTotals(out, totals));
         assertThat(LedgerCodec.decode(bytes, LoadReportCodec::read)).containsExactly(REPORT);
     }
+
+    @Test
+    void readsReportThatItWrote() throws IOException {
+        EntryNodeReport report =
+                new EntryNodeReport(
+                        "n/1",
+                        List.of(REPORT),
+                        List.of(new RateLimitReport("r", 9.4, 120)),
+                        "127.0.0.1:1");
+        byte[] bytes = LedgerCodec.encode(out -> LoadReportCodec.writeReport(out, report));
+        assertThat(LedgerCodec.decode(bytes, LoadReportCodec::readReport)).isEqualTo(report);
+    }
+
+    @Test
+    void readsReportOfEarlierRelease() throws IOException {
+        byte[] bytes =
+                LedgerCodec.encode(
+                        out -> {
+                            out.writeUTF("n/1");
+                            LoadReportCodec.write(out, List.of(REPORT));
+                        });
+        assertThat(LedgerCodec.decode(bytes, LoadReportCodec::readReport))
+                .isEqualTo(new EntryNodeReport("n/1", List.of(REPORT), List.of(), ""));
+    }
 }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetSimulation.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetSimulation.java
@@ -8,6 +8,7 @@
 import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.skylarkmast.relay.loadreport.EntryNodeReport;
 import org.skylarkmast.relay.loadreport.LoadReportAggregator;
 import org.skylarkmast.relay.loadreport.RunnerLoadReport;
 
@@ -44,7 +45,8 @@
     private final List<SimulatedRunner> simulatedRunners = new ArrayList<>();
     private final List<RunnerPool> pools = new ArrayList<>();
     private final RunnerDirectory directory = new RunnerDirectory();
-    private final LoadReportAggregator aggregator = new LoadReportAggregator(this::nowNs);
+    private final LoadReportAggregator aggregator =
+            new LoadReportAggregator(this::nowNs, new Random(1));
     private double nowMs;
     private double sumMs;
     private double sumWaitMs;
@@ -192,7 +194,7 @@
 
     private void report(int node) {
         List<RunnerLoadReport> loadReports = pools.get(node).drainLoadReports();
-        aggregator.report("n" + node, loadReports, List.of());
+        aggregator.report(new EntryNodeReport("n" + node, loadReports, List.of(), ""));
         pools.get(node).applyFleetReports(aggregator.fleetTotals().runners(), loadReports);
         if (nowMs < END_MS) {
             schedule(REPORT_INTERVAL_MS, () -> report(node));
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeCluster.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeCluster.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.stream.Stream;
@@ -135,7 +136,7 @@
                         storageNode.index,
                         storageNode.membership,
                         storageNode.views,
-                        new LoadReportAggregator(System::nanoTime),
+                        new LoadReportAggregator(System::nanoTime, new Random()),
                         new MirrorExchange(
                                 new StoreMirror(NO_OP_LISTENER, System::nanoTime),
                                 new StorageNodeClient(
--- a/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
+++ b/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -102,7 +103,7 @@
                             index,
                             membership,
                             views,
-                            new LoadReportAggregator(System::nanoTime),
+                            new LoadReportAggregator(System::nanoTime, new Random()),
                             exchange,
                             new SendRateLimiter(System::nanoTime, 2, () -> 0));
         }
