[relay] Report a request that may have run as such when no runner is left

What callers saw: a safe request whose first runner broke off was answered 503, which promises that it has not run, if the later ones could not be connected to; also by the node to which a cut-off node passes it on.

Cause: whether a request may have run was derived from the runners that count against its limit, and a runner that is gone or refuses a connection does not count.

Change: RetryLoop keeps it apart, and a node tells the next one, which then answers 502 where it would have answered 503.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/PeerRelay.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/PeerRelay.java
@@ -1,6 +1,8 @@
 package org.skylarkmast.relay.forward;
 
 import java.util.List;
+import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import org.skylarkmast.relay.http.HeaderFields;
 import org.skylarkmast.relay.http.RunnerConnectionPool;
@@ -22,6 +24,12 @@
     /** Number of runners to which the other node may send the request. */
     private static final String MAX_ATTEMPTS = "Skylarkmast-Max-Attempts";
 
+    /** Present if a runner may have run the request already. */
+    private static final String MAY_HAVE_RUN = "Skylarkmast-May-Have-Run";
+
+    private static final Set<String> PEER_FIELDS =
+            Set.of(MAX_ATTEMPTS.toLowerCase(Locale.ROOT), MAY_HAVE_RUN.toLowerCase(Locale.ROOT));
+
     /** Maximum number of nodes that are tried for a request. */
     private static final int MAX_PEERS = 3;
 
@@ -60,16 +68,18 @@
      *
      * @param request with the fields of the caller
      * @param maxAttempts number of runners to which that node may send it, at least 1
+     * @param mayHaveRun whether a runner may have run it already
      */
     Relayed relay(
             RequestSender.OutboundRequest request,
             int maxAttempts,
+            boolean mayHaveRun,
             Exchange exchange,
             AnswerWriter writer)
             throws InterruptedException {
-        RequestSender.OutboundRequest limited =
-                request.withFields(
-                        request.fields().with(MAX_ATTEMPTS, Integer.toString(maxAttempts)));
+        HeaderFields fields = request.fields().with(MAX_ATTEMPTS, Integer.toString(maxAttempts));
+        RequestSender.OutboundRequest forPeer =
+                request.withFields(mayHaveRun ? fields.with(MAY_HAVE_RUN, "1") : fields);
         SendResult result = new SendResult.NotRun(false, "no other entry node is known");
         String lastPeer = "";
         List<PeerNode> candidates = peers.shuffled();
@@ -77,7 +87,7 @@
             lastPeer = peer.process();
             Destination destination =
                     new Destination(peer.process(), peer.process(), peer.address());
-            result = sender.send(limited, destination, SendObserver.NONE, exchange, writer);
+            result = sender.send(forPeer, destination, SendObserver.NONE, exchange, writer);
             if (!(result instanceof SendResult.NotRun notRun) || exchange.isCancelled()) {
                 break;
             }
@@ -108,9 +118,13 @@
         }
     }
 
+    /** Whether a runner may have run a request before another node passed it on. */
+    static boolean mayHaveRun(HeaderFields peerFields) {
+        return peerFields.first(MAY_HAVE_RUN) != null;
+    }
+
     /** Returns the caller's fields of a request of another node. */
     static HeaderFields callerFields(HeaderFields peerFields) {
-        return peerFields.without(
-                java.util.Set.of(MAX_ATTEMPTS.toLowerCase(java.util.Locale.ROOT)));
+        return peerFields.without(PEER_FIELDS);
     }
 }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Refusal.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Refusal.java
@@ -12,8 +12,11 @@
     /** Value of {@code retryAfterMs} if a retry is of no use. */
     static final long NEVER = -1;
 
+    /** Status of a request that was not run and will not be. */
+    static final int NOT_RUN = 503;
+
     static Refusal notRun(long retryAfterMs, String reason) {
-        return new Refusal(503, retryAfterMs, reason);
+        return new Refusal(NOT_RUN, retryAfterMs, reason);
     }
 
     static Refusal mayHaveRun(String reason) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -27,6 +27,9 @@
     private final RoutingConfiguration configuration;
     private final boolean fromPeer;
 
+    /** Whether a runner may have run the request before another entry node passed it on. */
+    private final boolean mayHaveRunBefore;
+
     /** The service that the request is sent to; that of its origin if it resumes a stream. */
     private String service;
 
@@ -59,6 +62,7 @@
         this.exchange = exchange;
         this.configuration = configuration;
         this.fromPeer = fromPeer;
+        this.mayHaveRunBefore = fromPeer && PeerRelay.mayHaveRun(request.fields());
         this.service = route.selectService(sample);
     }
 
@@ -70,7 +74,7 @@
     boolean serve(RequestLog.Entry entry) throws InterruptedException {
         entry.service = service;
         if (mayLeaveToPeer()) {
-            return leaveToPeer(route.maxAttempts(), false, entry);
+            return leaveToPeer(route.maxAttempts(), false, false, entry);
         }
         RequestAdmission admission =
                 new RequestAdmission(
@@ -85,8 +89,7 @@
                 && !context.ledger().awaitFirstQuorum(Forwarder.startupWaitMs(call))) {
             Refusal refusal =
                     Refusal.notRun(Forwarder.OTHER_NODE_RETRY_AFTER_MS, "no quorum of keepers");
-            return context.refusals()
-                    .refuse(caller, call.requestId(), refusal, closeAfterAnswer, entry);
+            return refuse(refusal, entry);
         }
         Future<ChainOutcome> chain = startChain();
         Refusal refusal = null;
@@ -122,12 +125,24 @@
             }
         }
         if (refusal != null) {
-            return context.refusals()
-                    .refuse(caller, call.requestId(), refusal, closeAfterAnswer, entry);
+            return refuse(refusal, entry);
         }
         return send(body, admission.needsTokens(), binding, entry);
     }
 
+    private boolean refuse(Refusal refusal, RequestLog.Entry entry) {
+        boolean claimsNotRun = refusal.status() == Refusal.NOT_RUN;
+        return context.refusals()
+                .refuse(
+                        caller,
+                        call.requestId(),
+                        claimsNotRun && mayHaveRunBefore
+                                ? Refusal.mayHaveRun(refusal.reason())
+                                : refusal,
+                        closeAfterAnswer,
+                        entry);
+    }
+
     private Future<ChainOutcome> startChain() {
         if (!route.storesTurns() || call.previousTurn().isEmpty()) {
             return null;
@@ -175,7 +190,7 @@
         entry.framing = writer.runnerFraming();
         entry.trailingBytes = writer.trailingBytes();
         if (outcome.leftToPeer()) {
-            return leaveToPeer(loop.remainingAttempts(), reserved, entry);
+            return leaveToPeer(loop.remainingAttempts(), loop.mayHaveRun(), reserved, entry);
         }
         boolean settledByAppend = writer.isComplete() && route.storesTurns();
         if (reserved && !settledByAppend) {
@@ -214,15 +229,22 @@
     /**
      * Lets another entry node serve the request.
      *
+     * @param mayHaveRun whether a runner may have run the request already
      * @param reserved whether this node has reserved tokens; the other one counts the same
      *     reservation and settles it
      */
-    private boolean leaveToPeer(int maxAttempts, boolean reserved, RequestLog.Entry entry)
+    private boolean leaveToPeer(
+            int maxAttempts, boolean mayHaveRun, boolean reserved, RequestLog.Entry entry)
             throws InterruptedException {
         writer = answerWriter(false);
         PeerRelay.Relayed relayed =
                 context.peerRelay()
-                        .relay(outboundRequest(input, _ -> true), maxAttempts, exchange, writer);
+                        .relay(
+                                outboundRequest(input, _ -> true),
+                                maxAttempts,
+                                mayHaveRun,
+                                exchange,
+                                writer);
         entry.peer = relayed.peer();
         entry.tokens = writer.tokensWritten();
         Refusal refusal =
@@ -231,9 +253,10 @@
                         if (reserved) {
                             settle(0);
                         }
-                        yield Refusal.notRun(
-                                Forwarder.OTHER_NODE_RETRY_AFTER_MS,
-                                "no runner is reachable: " + notRun.reason());
+                        String reason = "no runner is reachable: " + notRun.reason();
+                        yield mayHaveRun
+                                ? Refusal.mayHaveRun(reason)
+                                : Refusal.notRun(Forwarder.OTHER_NODE_RETRY_AFTER_MS, reason);
                     }
                     case SendResult.MayHaveRun broken ->
                             exchange.isExpired()
@@ -248,8 +271,7 @@
 
     private boolean finish(RetryLoop.Outcome outcome, AnswerWriter writer, RequestLog.Entry entry) {
         if (outcome.refusal() != null && !writer.hasBegun()) {
-            return context.refusals()
-                    .refuse(caller, call.requestId(), outcome.refusal(), closeAfterAnswer, entry);
+            return refuse(outcome.refusal(), entry);
         }
         return switch (outcome.result()) {
             case SendResult.Delivered delivered -> {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
@@ -97,6 +97,9 @@
     private int sendsToLimitedRunners;
     private int retries;
 
+    /** Stays true when the runner is gone and does not count against the limit any more. */
+    private boolean mayHaveRun;
+
     /**
      * @param observers returns the observer of a send to a runner
      * @param continuesProgram whether the request belongs to a program that has got answers before
@@ -184,7 +187,7 @@
 
     /** Whether any runner may have run the request. */
     boolean mayHaveRun() {
-        return !attemptedRunners.isEmpty();
+        return mayHaveRun;
     }
 
     Outcome run() throws InterruptedException {
@@ -282,7 +285,7 @@
         return switch (result) {
             case SendResult.Delivered delivered -> new Outcome(delivered, null);
             case SendResult.CallerLost lost -> {
-                attemptedRunners.put(runner.incarnation(), runner);
+                recordAttempt(runner);
                 yield new Outcome(lost, null);
             }
             case SendResult.NotRun notRun -> {
@@ -294,7 +297,7 @@
                 yield null;
             }
             case SendResult.MayHaveRun mayHaveRun -> {
-                attemptedRunners.put(runner.incarnation(), runner);
+                recordAttempt(runner);
                 excludedIncarnations.add(runner.incarnation());
                 if (tryConsumeRetry()) {
                     yield null;
@@ -306,13 +309,18 @@
                                 : Refusal.mayHaveRun(mayHaveRun.reason()));
             }
             case SendResult.BrokenOff brokenOff -> {
-                attemptedRunners.put(runner.incarnation(), runner);
+                recordAttempt(runner);
                 boolean resumes = tryConsumeRetry() && !writer.lastEventId().isEmpty();
                 yield resumes ? null : new Outcome(brokenOff, null);
             }
         };
     }
 
+    private void recordAttempt(Runner runner) {
+        attemptedRunners.put(runner.incarnation(), runner);
+        mayHaveRun = true;
+    }
+
     /**
      * Returns the request, with a head time-out if it is idempotent and can be retried elsewhere.
      */
