[relay] Bound what is read of answers that have no end

Cause: the rest of a rejection and of an answer to another request was read whole, a line after the head (a chunk's size, a trailer) had no limit, and interim answers could follow one another for ever, all into memory until the request's deadline; heads and the number of trailers were limited. An event could grow to 1 MiB in each of several hundred streams, with a heap of 56 MiB.

Change: at most 16 KiB and 100 ms for what is read only for the reuse of a connection, 8 KiB a line of a body, 8 interim answers, 64 KiB an event. What goes over breaks the exchange: the connection is closed, the reason is logged, a safe request goes to another runner, an unsafe one is answered 502, and 503 is answered only where the runner said that it did not run the request.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/EventSplitter.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/EventSplitter.java
@@ -8,8 +8,11 @@
 /** Splits a byte stream into server-sent events. Not thread-safe. */
 final class EventSplitter {
 
-    /** Maximum size of an event; a longer one indicates a faulty runner. */
-    private static final int MAX_EVENT_BYTES = 1 << 20;
+    /**
+     * Maximum size of an event; a longer one indicates a faulty runner. A node buffers one event
+     * for each of several hundred streams.
+     */
+    private static final int MAX_EVENT_BYTES = 1 << 16;
 
     private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
     private int lineLength;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
@@ -38,6 +38,9 @@
     /** Maximum number of answers to other requests that are skipped on a connection. */
     private static final int MAX_STRAY_ANSWERS = 3;
 
+    /** Maximum wait for the rest of a rejection, which is a few bytes. */
+    private static final long DISCARD_TIMEOUT_MS = 100;
+
     private static final int MISDIRECTED_REQUEST = 421;
 
     private final RunnerConnectionPool connections;
@@ -160,8 +163,7 @@
             answer = readHeadInTime(request, connection);
             observer.answered(answer);
             if (dialect.reportsNotRun(answer.status(), answer.fields())) {
-                connection.body(answer).readAllBytes();
-                reusable = true;
+                reusable = discardInTime(connection, answer);
                 boolean overloaded = answer.status() != MISDIRECTED_REQUEST;
                 observer.rejected(answer, overloaded);
                 return new SendResult.NotRun(overloaded, "runner answered " + answer.status());
@@ -221,6 +223,28 @@
         }
     }
 
+    /**
+     * Reads the rest of a rejection; the caller's request does not wait long for it.
+     *
+     * @return whether the connection may be reused
+     */
+    private boolean discardInTime(RunnerConnection connection, RunnerAnswer answer) {
+        ScheduledFuture<?> abortTimer =
+                timers.schedule(connection::abort, DISCARD_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        try {
+            return connection.discardBody(answer);
+        } catch (IOException e) {
+            LOG.atInfo()
+                    .addKeyValue("event", "rejection_not_read")
+                    .addKeyValue("status", answer.status())
+                    .addKeyValue("reason", e.getMessage())
+                    .log();
+            return false;
+        } finally {
+            abortTimer.cancel(false);
+        }
+    }
+
     /** Returns the work done: for a stream, its tokens, which are often far fewer than expected. */
     private static double completedUnits(OutboundRequest request, AnswerWriter writer) {
         return request.stream() ? Math.max(1, writer.tokensWritten()) : request.units();
@@ -288,10 +312,9 @@
                     .addKeyValue("request", request.requestId())
                     .addKeyValue("answered", answered)
                     .log();
-            if (!answer.persistent()) {
-                throw new IOException("an answer to another request ended the connection");
+            if (!connection.discardBody(answer)) {
+                throw new IOException("an answer to another request does not end in time");
             }
-            connection.body(answer).readAllBytes();
         }
         throw new IOException("only answers to other requests");
     }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/ReadAheadInput.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/ReadAheadInput.java
@@ -18,6 +18,11 @@
 final class ReadAheadInput implements SessionInputBuffer {
     private static final int BUFFER_BYTES = 8192;
 
+    /**
+     * Maximum length of a line after the head: a chunk's size with its extensions, or a trailer.
+     */
+    private static final int MAX_BODY_LINE_BYTES = 8192;
+
     private final InputStream socketInput;
     private final int maxHeadBytes;
     private final boolean requireCrLf;
@@ -161,6 +166,10 @@
                 return -1;
             }
             countHeadByte();
+            if (!inHead && line.length() - start >= MAX_BODY_LINE_BYTES) {
+                throw new MalformedMessageException(
+                        "line of a body is longer than " + MAX_BODY_LINE_BYTES + " bytes");
+            }
             if (next == '\n') {
                 if (!afterCarriageReturn && requireCrLf) {
                     throw new MalformedMessageException("line feed without carriage return");
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
@@ -26,6 +26,13 @@
  */
 public final class RunnerConnection {
     private static final int MAX_HEAD_BYTES = 65_536;
+
+    /** Maximum number of interim answers before a final one. */
+    private static final int MAX_INTERIM_ANSWERS = 8;
+
+    /** Longest body that is read only for the reuse of a connection. */
+    private static final int MAX_DISCARDED_BYTES = 16_384;
+
     private static final Http1Config LIMITS =
             Http1Config.custom().setMaxHeaderCount(200).setMaxEmptyLineCount(1).build();
 
@@ -81,14 +88,35 @@
         output.flush();
     }
 
-    /** Reads the head of the next final answer and skips interim (1xx) answers. */
+    /**
+     * Reads the head of the next final answer and skips a few interim (1xx) answers.
+     *
+     * @throws IOException if the connection breaks, or what arrives is no answer
+     */
     public RunnerAnswer readHead(String requestMethod) throws IOException {
-        while (true) {
+        for (int interim = 0; interim <= MAX_INTERIM_ANSWERS; interim++) {
             RunnerAnswer answer = readNextHead(requestMethod);
             if (answer.status() >= 200) {
                 return answer;
             }
         }
+        throw new MalformedMessageException(
+                "more than " + MAX_INTERIM_ANSWERS + " interim answers before a final one");
+    }
+
+    /**
+     * Reads the rest of an answer that nobody needs, so that the connection can be reused.
+     *
+     * @return false if the rest is too long for that or ends with the connection; then it must be
+     *     closed
+     */
+    public boolean discardBody(RunnerAnswer answer) throws IOException {
+        boolean tooLong =
+                answer.framing() instanceof Framing.Length length
+                        && length.bytes() > MAX_DISCARDED_BYTES;
+        return answer.persistent()
+                && !tooLong
+                && body(answer).readNBytes(MAX_DISCARDED_BYTES + 1).length <= MAX_DISCARDED_BYTES;
     }
 
     private RunnerAnswer readNextHead(String requestMethod) throws IOException {
