[relay] Split the sender and the retry loop

No behaviour changes: OutboundRequest, AttemptedRunners and RetryOutcome are files of their own. Tests of the entry node, cut-off nodes and endless answers pass (113).

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/ForwardingContext.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/ForwardingContext.java
@@ -26,7 +26,7 @@
         ExecutorService executor) {
 
     /** Returns what observes the sends of a request, by runner. */
-    Function<Runner, SendObserver> observers(RequestSender.OutboundRequest request) {
+    Function<Runner, SendObserver> observers(OutboundRequest request) {
         return runner ->
                 new RunnerObserver(pool, admission.limits(), contact, dialect, request, runner);
     }
--- /dev/null
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/OutboundRequest.java
@@ -0,0 +1,64 @@
+package org.skylarkmast.relay.forward;
+
+import java.util.List;
+import org.skylarkmast.relay.http.HeaderFields;
+import org.skylarkmast.relay.runner.PromptPart;
+
+/**
+ * A request to be sent to runners.
+ *
+ * @param fields end-to-end fields of the caller
+ * @param units amount of work: expected output tokens of a stream, 1 otherwise
+ * @param stream whether the answer is a stream of events
+ * @param streamEndHook called after all events were written and before the end of the stream is
+ * @param headTimeoutMs maximum time until the head of the answer, or {@link #NO_HEAD_TIMEOUT}
+ */
+@SuppressWarnings("ArrayRecordComponent") // bodies are opaque and never compared
+record OutboundRequest(
+        String requestId,
+        String method,
+        String target,
+        HeaderFields fields,
+        byte[] body,
+        int priority,
+        double units,
+        List<PromptPart> prompt,
+        boolean stream,
+        RequestSender.StreamEndHook streamEndHook,
+        long headTimeoutMs) {
+
+    /** The time until the head of the answer is limited by the deadline only. */
+    static final long NO_HEAD_TIMEOUT = 0;
+
+    /** Returns this request with {@code other} as its fields. */
+    OutboundRequest withFields(HeaderFields other) {
+        return new OutboundRequest(
+                requestId,
+                method,
+                target,
+                other,
+                body,
+                priority,
+                units,
+                prompt,
+                stream,
+                streamEndHook,
+                headTimeoutMs);
+    }
+
+    /** Returns this request with a maximum of {@code ms} until the head of the answer. */
+    OutboundRequest withHeadTimeoutMs(long ms) {
+        return new OutboundRequest(
+                requestId,
+                method,
+                target,
+                fields,
+                body,
+                priority,
+                units,
+                prompt,
+                stream,
+                streamEndHook,
+                ms);
+    }
+}
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/PeerRelay.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/PeerRelay.java
@@ -71,14 +71,14 @@
      * @param mayHaveRun whether a runner may have run it already
      */
     Relayed relay(
-            RequestSender.OutboundRequest request,
+            OutboundRequest request,
             int maxAttempts,
             boolean mayHaveRun,
             Exchange exchange,
             AnswerWriter writer)
             throws InterruptedException {
         HeaderFields fields = request.fields().with(MAX_ATTEMPTS, Integer.toString(maxAttempts));
-        RequestSender.OutboundRequest forPeer =
+        OutboundRequest forPeer =
                 request.withFields(mayHaveRun ? fields.with(MAY_HAVE_RUN, "1") : fields);
         SendResult result = new SendResult.NotRun(false, "no other entry node is known");
         String lastPeer = "";
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -164,7 +164,7 @@
             byte[] body, boolean reserved, OriginBinding binding, RequestLog.Entry entry)
             throws InterruptedException {
         writer = answerWriter(route.storesTurns());
-        RequestSender.OutboundRequest outboundRequest = outboundRequest(body, this::storeTurn);
+        OutboundRequest outboundRequest = outboundRequest(body, this::storeTurn);
         RetryLoop loop =
                 new RetryLoop(
                         context.pool(),
@@ -179,7 +179,7 @@
                         binding,
                         !call.previousTurn().isEmpty(),
                         this::mayLeaveToPeer);
-        RetryLoop.Outcome outcome = loop.run();
+        RetryOutcome outcome = loop.run();
         entry.runner = loop.lastRunner();
         entry.runnerVersion = loop.lastRunnerVersion();
         entry.runnerLimit = loop.lastRunnerLimit();
@@ -190,7 +190,11 @@
         entry.framing = writer.runnerFraming();
         entry.trailingBytes = writer.trailingBytes();
         if (outcome.leftToPeer()) {
-            return leaveToPeer(loop.remainingAttempts(), loop.mayHaveRun(), reserved, entry);
+            return leaveToPeer(
+                    loop.attemptedRunners().remaining(),
+                    loop.attemptedRunners().mayHaveRun(),
+                    reserved,
+                    entry);
         }
         boolean settledByAppend = writer.isComplete() && route.storesTurns();
         if (reserved && !settledByAppend) {
@@ -205,10 +209,10 @@
         return new AnswerWriter(caller, closeAfterAnswer, tokensPerEvent, recordsOutput);
     }
 
-    private RequestSender.OutboundRequest outboundRequest(
+    private OutboundRequest outboundRequest(
             byte[] body, RequestSender.StreamEndHook streamEndHook) {
         boolean stream = route.kind() == RouteKind.STREAM;
-        return new RequestSender.OutboundRequest(
+        return new OutboundRequest(
                 call.requestId(),
                 request.method(),
                 request.target(),
@@ -219,7 +223,7 @@
                 call.prompt(),
                 stream,
                 streamEndHook,
-                RequestSender.OutboundRequest.NO_HEAD_TIMEOUT);
+                OutboundRequest.NO_HEAD_TIMEOUT);
     }
 
     private boolean mayLeaveToPeer() {
@@ -266,10 +270,10 @@
                     case SendResult.BrokenOff brokenOff -> null;
                     case SendResult.CallerLost lost -> null;
                 };
-        return finish(new RetryLoop.Outcome(relayed.result(), refusal), writer, entry);
+        return finish(new RetryOutcome(relayed.result(), refusal), writer, entry);
     }
 
-    private boolean finish(RetryLoop.Outcome outcome, AnswerWriter writer, RequestLog.Entry entry) {
+    private boolean finish(RetryOutcome outcome, AnswerWriter writer, RequestLog.Entry entry) {
         if (outcome.refusal() != null && !writer.hasBegun()) {
             return refuse(outcome.refusal(), entry);
         }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
@@ -1,8 +1,6 @@
 package org.skylarkmast.relay.forward;
 
 import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -76,7 +74,7 @@
     private final Function<Runner, SendObserver> observers;
     private final Route route;
     private final String service;
-    private final RequestSender.OutboundRequest request;
+    private final OutboundRequest request;
     private final Exchange exchange;
     private final AnswerWriter writer;
     private final OriginBinding binding;
@@ -84,8 +82,7 @@
     private final BooleanSupplier mayLeaveToPeer;
     private final RateLimitWait rateLimitWait;
 
-    /** Runners that may have run the request, by incarnation; limited by the route. */
-    private final Map<String, Runner> attemptedRunners = new LinkedHashMap<>();
+    private final AttemptedRunners attemptedRunners;
 
     private final Set<String> excludedIncarnations = new HashSet<>();
     private final long startedNs = System.nanoTime();
@@ -97,9 +94,6 @@
     private int sendsToLimitedRunners;
     private int retries;
 
-    /** Stays true when the runner is gone and does not count against the limit any more. */
-    private boolean mayHaveRun;
-
     /**
      * @param observers returns the observer of a send to a runner
      * @param continuesProgram whether the request belongs to a program that has got answers before
@@ -112,7 +106,7 @@
             Function<Runner, SendObserver> observers,
             Route route,
             String service,
-            RequestSender.OutboundRequest request,
+            OutboundRequest request,
             Exchange exchange,
             AnswerWriter writer,
             OriginBinding binding,
@@ -130,6 +124,7 @@
         this.binding = binding;
         this.continuesProgram = continuesProgram;
         this.mayLeaveToPeer = mayLeaveToPeer;
+        this.attemptedRunners = new AttemptedRunners(route.maxAttempts());
         this.rateLimitWait =
                 new RateLimitWait(
                         admission,
@@ -139,21 +134,6 @@
                         pool::isAvailable);
     }
 
-    /**
-     * The outcome of all sends.
-     *
-     * @param result result of the last send
-     * @param refusal error answer to generate for the caller, or null
-     * @param leftToPeer whether another entry node may serve the request, since this one reaches no
-     *     runner
-     */
-    record Outcome(SendResult result, Refusal refusal, boolean leftToPeer) {
-
-        Outcome(SendResult result, Refusal refusal) {
-            this(result, refusal, false);
-        }
-    }
-
     String lastRunner() {
         return lastRunner;
     }
@@ -180,31 +160,27 @@
         return sendsToLimitedRunners;
     }
 
-    /** Number of further runners to which the request may be sent. */
-    int remainingAttempts() {
-        return route.maxAttempts() - attemptedRunners.size();
-    }
-
-    /** Whether any runner may have run the request. */
-    boolean mayHaveRun() {
-        return mayHaveRun;
+    AttemptedRunners attemptedRunners() {
+        return attemptedRunners;
     }
 
-    Outcome run() throws InterruptedException {
+    RetryOutcome run() throws InterruptedException {
         SendResult last = new SendResult.NotRun(false, "not sent");
         while (true) {
             if (exchange.isCallerDisconnected()) {
-                return new Outcome(new SendResult.CallerLost("caller closed"), null);
+                return new RetryOutcome(new SendResult.CallerLost("caller closed"), null);
             }
             if (exchange.isExpired() || sends >= MAX_SENDS) {
-                return new Outcome(last, timeoutRefusal(last));
+                return new RetryOutcome(last, timeoutRefusal(last));
             }
-            if (mayLeaveToPeer.getAsBoolean() && !writer.hasBegun() && remainingAttempts() > 0) {
-                return new Outcome(last, null, true);
+            if (mayLeaveToPeer.getAsBoolean()
+                    && !writer.hasBegun()
+                    && attemptedRunners.remaining() > 0) {
+                return new RetryOutcome(last, null, true);
             }
             Runner runner = chooseRunner();
             if (runner == null) {
-                Outcome outcome = withoutRunner(last);
+                RetryOutcome outcome = withoutRunner(last);
                 if (outcome != null) {
                     return outcome;
                 }
@@ -228,7 +204,7 @@
                             observers.apply(runner),
                             exchange,
                             writer);
-            Outcome outcome = evaluate(last, runner);
+            RetryOutcome outcome = evaluate(last, runner);
             if (outcome != null) {
                 return outcome;
             }
@@ -236,7 +212,7 @@
     }
 
     /** Returns the outcome if the request gives up, or null if it looks for a runner again. */
-    private Outcome withoutRunner(SendResult last) throws InterruptedException {
+    private RetryOutcome withoutRunner(SendResult last) throws InterruptedException {
         if (isOriginGone()) {
             return cannotContinue(
                     last,
@@ -256,7 +232,7 @@
         }
         if (hasWaitedTooLongForRunner()) {
             Refusal refusal = Refusal.notRun(NO_RUNNER_RETRY_AFTER_MS, "no runner is registered");
-            return new Outcome(last, refusal);
+            return new RetryOutcome(last, refusal);
         }
         backOff();
         return null;
@@ -281,52 +257,46 @@
     }
 
     /** Returns the outcome if {@code result} is final, or null if the request is sent again. */
-    private Outcome evaluate(SendResult result, Runner runner) {
+    private RetryOutcome evaluate(SendResult result, Runner runner) {
         return switch (result) {
-            case SendResult.Delivered delivered -> new Outcome(delivered, null);
+            case SendResult.Delivered delivered -> new RetryOutcome(delivered, null);
             case SendResult.CallerLost lost -> {
-                recordAttempt(runner);
-                yield new Outcome(lost, null);
+                attemptedRunners.add(runner);
+                yield new RetryOutcome(lost, null);
             }
             case SendResult.NotRun notRun -> {
                 excludedIncarnations.add(runner.incarnation());
                 if (!notRun.overloaded()) {
                     // This incarnation is gone, so it does not count against the limit.
-                    attemptedRunners.remove(runner.incarnation());
+                    attemptedRunners.discount(runner);
                 }
                 yield null;
             }
             case SendResult.MayHaveRun mayHaveRun -> {
-                recordAttempt(runner);
+                attemptedRunners.add(runner);
                 excludedIncarnations.add(runner.incarnation());
                 if (tryConsumeRetry()) {
                     yield null;
                 }
-                yield new Outcome(
+                yield new RetryOutcome(
                         mayHaveRun,
                         exchange.isExpired()
                                 ? timeoutRefusal(mayHaveRun)
                                 : Refusal.mayHaveRun(mayHaveRun.reason()));
             }
             case SendResult.BrokenOff brokenOff -> {
-                recordAttempt(runner);
+                attemptedRunners.add(runner);
                 boolean resumes = tryConsumeRetry() && !writer.lastEventId().isEmpty();
-                yield resumes ? null : new Outcome(brokenOff, null);
+                yield resumes ? null : new RetryOutcome(brokenOff, null);
             }
         };
     }
 
-    private void recordAttempt(Runner runner) {
-        attemptedRunners.put(runner.incarnation(), runner);
-        mayHaveRun = true;
-    }
-
     /**
      * Returns the request, with a head time-out if it is idempotent and can be retried elsewhere.
      */
-    private RequestSender.OutboundRequest outboundRequest(Runner runner) {
-        boolean canRetryElsewhere =
-                attemptedRunners.size() + 1 < route.maxAttempts() && retries < MAX_RETRIES;
+    private OutboundRequest outboundRequest(Runner runner) {
+        boolean canRetryElsewhere = attemptedRunners.remaining() > 1 && retries < MAX_RETRIES;
         if (route.kind() != RouteKind.IDEMPOTENT || !canRetryElsewhere) {
             return request;
         }
@@ -347,19 +317,21 @@
     }
 
     /** Gives up a request for which there is no runner, as not run where that is certain. */
-    private Outcome cannotContinue(SendResult last, long retryAfterMs, String reason) {
+    private RetryOutcome cannotContinue(SendResult last, long retryAfterMs, String reason) {
         if (writer.hasBegun()) {
-            return new Outcome(new SendResult.BrokenOff(reason), null);
+            return new RetryOutcome(new SendResult.BrokenOff(reason), null);
         }
         Refusal refusal =
-                mayHaveRun() ? Refusal.mayHaveRun(reason) : Refusal.notRun(retryAfterMs, reason);
-        return new Outcome(last, refusal);
+                attemptedRunners.mayHaveRun()
+                        ? Refusal.mayHaveRun(reason)
+                        : Refusal.notRun(retryAfterMs, reason);
+        return new RetryOutcome(last, refusal);
     }
 
     private Runner chooseRunner() throws InterruptedException {
-        attemptedRunners.values().removeIf(runner -> !pool.isRegistered(runner));
-        if (attemptedRunners.size() >= route.maxAttempts()) {
-            for (Runner runner : attemptedRunners.values()) {
+        attemptedRunners.retain(pool::isRegistered);
+        if (attemptedRunners.remaining() <= 0) {
+            for (Runner runner : attemptedRunners.counted()) {
                 if (!isExcluded(runner) && binding.allows(runner)) {
                     return runner;
                 }
@@ -398,7 +370,7 @@
      */
     private boolean hasWaitedTooLongForRunner() {
         return !pool.hasAvailableRunners(service)
-                && !mayHaveRun()
+                && !attemptedRunners.mayHaveRun()
                 && elapsedMs() >= route.objectiveMs() / NO_RUNNER_WAIT_DIVISOR;
     }
 
@@ -415,7 +387,7 @@
     }
 
     private Refusal timeoutRefusal(SendResult last) {
-        if (mayHaveRun()) {
+        if (attemptedRunners.mayHaveRun()) {
             return Refusal.timedOut("no answer in time");
         }
         String reason = last instanceof SendResult.NotRun notRun ? notRun.reason() : "no time left";
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerObserver.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerObserver.java
@@ -20,7 +20,7 @@
     private final RunnerRateLimits limits;
     private final RunnerContact contact;
     private final WireDialect dialect;
-    private final RequestSender.OutboundRequest request;
+    private final OutboundRequest request;
     private final Runner runner;
     private boolean waiting;
 
@@ -29,7 +29,7 @@
             RunnerRateLimits limits,
             RunnerContact contact,
             WireDialect dialect,
-            RequestSender.OutboundRequest request,
+            OutboundRequest request,
             Runner runner) {
         this.pool = pool;
         this.limits = limits;
