--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -117,7 +117,22 @@
             BooleanSupplier closeAfterAnswer,
             boolean fromPeer)
             throws InterruptedException {
-        RequestLog.Entry entry = new RequestLog.Entry(System.nanoTime());
+        RequestLog.Entry entry = context.requestLog().begin();
+        try {
+            return serve(caller, request, body, closeAfterAnswer, fromPeer, entry);
+        } finally {
+            context.requestLog().logFailed(entry);
+        }
+    }
+
+    private boolean serve(
+            CallerConnection caller,
+            InboundRequest request,
+            byte[] body,
+            BooleanSupplier closeAfterAnswer,
+            boolean fromPeer,
+            RequestLog.Entry entry)
+            throws InterruptedException {
         CallMetadata call;
         try {
             call = dialect.parseCallMetadata(request.fields());
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
@@ -3,7 +3,10 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
 import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -17,8 +20,12 @@
     private final Counter runnerAnswers;
     private final Counter sendsToLimitedRunners;
     private final Histogram seconds;
+    private final Set<Entry> unfinished = ConcurrentHashMap.newKeySet();
 
-    /** The data logged for a request, filled in while it is served. Confined to one thread. */
+    /**
+     * The data logged for a request, filled in by the thread that serves it. At the end of the
+     * process another thread may log what is known by then.
+     */
     static final class Entry {
         final long startedNs;
         String requestId = "";
@@ -81,11 +88,34 @@
         sendsToLimitedRunners.inc(sends);
     }
 
+    /** Returns the entry of a request that begins. */
+    Entry begin() {
+        Entry entry = new Entry(System.nanoTime());
+        unfinished.add(entry);
+        return entry;
+    }
+
+    /** Logs the requests that the end of the process cuts off; returns their number. */
+    public int logUnfinished() {
+        List<Entry> cutOff = List.copyOf(unfinished);
+        cutOff.forEach(entry -> logEnd("cut_off", entry));
+        return cutOff.size();
+    }
+
     private static Object toText(OptionalDouble value) {
         return value.isPresent() ? value.getAsDouble() : "";
     }
 
+    /** Logs a request that an exception ended, unless its end has been logged. */
+    void logFailed(Entry entry) {
+        logEnd("failed", entry);
+    }
+
+    /** Logs and counts the end of a request; only its first end counts. */
     void logEnd(String outcome, Entry entry) {
+        if (!unfinished.remove(entry)) {
+            return;
+        }
         long tookNs = System.nanoTime() - entry.startedNs;
         requests.labelValues(outcome, Integer.toString(entry.status)).inc();
         if (!entry.framing.isEmpty()) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/BudgetRule.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/BudgetRule.java
@@ -9,7 +9,15 @@
 
     private BudgetRule() {}
 
-    /** The decision on a reservation. */
+    /**
+     * The decision on a reservation and what it follows from.
+     *
+     * @param settledTokens tokens that ended turns have spent
+     * @param heldTokens tokens reserved for other turns that have not ended
+     */
+    public record Decision(Verdict verdict, long settledTokens, long heldTokens) {}
+
+    /** Whether the budget covers a turn. */
     public enum Verdict {
         /** The budget covers the turn. */
         GRANTED,
@@ -30,7 +38,7 @@
      *     usage in place of an open one
      * @param maxTokens upper bound of the tokens that the attempt may spend
      */
-    public static Verdict decide(
+    public static Decision decide(
             List<List<Usage>> reports, String attempt, int maxTokens, long budget) {
         Map<String, Usage> union = new HashMap<>();
         for (List<Usage> report : reports) {
@@ -48,6 +56,10 @@
                 open += usage.tokens();
             }
         }
+        return new Decision(verdict(settled, open, maxTokens, budget), settled, open);
+    }
+
+    private static Verdict verdict(long settled, long open, int maxTokens, long budget) {
         if (settled + open + maxTokens <= budget) {
             return Verdict.GRANTED;
         }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
@@ -187,17 +187,39 @@
             }
         }
         List<List<Usage>> reports = read.stream().map(UsageReport::usages).toList();
-        ReserveOutcome outcome =
-                switch (BudgetRule.decide(
+        return new ReserveResult(decide(reservation, reports), resumedOrigins);
+    }
+
+    private static ReserveOutcome decide(Reservation reservation, List<List<Usage>> reports) {
+        BudgetRule.Decision decision =
+                BudgetRule.decide(
                         reports,
                         reservation.attempt(),
                         reservation.maxTokens(),
-                        reservation.budget())) {
+                        reservation.budget());
+        ReserveOutcome outcome =
+                switch (decision.verdict()) {
                     case GRANTED -> ReserveOutcome.GRANTED;
                     case HELD -> ReserveOutcome.HELD;
                     case EXHAUSTED -> ReserveOutcome.EXHAUSTED;
                 };
-        return new ReserveResult(outcome, resumedOrigins);
+        if (outcome != ReserveOutcome.GRANTED) {
+            logDenied(reservation, decision);
+        }
+        return outcome;
+    }
+
+    private static void logDenied(Reservation reservation, BudgetRule.Decision decision) {
+        LOG.atInfo()
+                .addKeyValue("event", "reservation_denied")
+                .addKeyValue("program", reservation.program())
+                .addKeyValue("request", reservation.attempt())
+                .addKeyValue("verdict", decision.verdict())
+                .addKeyValue("budget", reservation.budget())
+                .addKeyValue("maxTokens", reservation.maxTokens())
+                .addKeyValue("settledTokens", decision.settledTokens())
+                .addKeyValue("heldTokens", decision.heldTokens())
+                .log();
     }
 
     @Override
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -84,6 +84,7 @@
     private final CallerServer callerServer;
     private final CallerServer peerServer;
     private final LedgerClient ledger;
+    private final RequestLog requestLog = new RequestLog(registry);
     private final AtomicInteger entryNodeCount = new AtomicInteger();
     private volatile boolean draining;
 
@@ -121,7 +122,7 @@
                         new PeerRelay(reachability, peers, peerConnections, dialect, timers),
                         dialect,
                         ledger,
-                        new RequestLog(registry),
+                        requestLog,
                         executor,
                         timers,
                         () -> ThreadLocalRandom.current().nextDouble());
@@ -338,6 +339,10 @@
                 Thread.sleep(DRAIN_POLL_MS);
             }
             close();
+            LOG.atInfo()
+                    .addKeyValue("event", "drain_closing")
+                    .addKeyValue("openConnections", openConnections())
+                    .log();
             while (openConnections() > 0 && elapsedMs(startedNs) < maxMs) {
                 callerServer.closeIdle();
                 peerServer.closeIdle();
@@ -349,6 +354,7 @@
         LOG.atInfo()
                 .addKeyValue("event", "drain_ended")
                 .addKeyValue("openConnections", openConnections())
+                .addKeyValue("requestsCutOff", requestLog.logUnfinished())
                 .addKeyValue("tookMs", elapsedMs(startedNs))
                 .log();
     }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
@@ -134,6 +134,15 @@
         return views;
     }
 
+    /** Logs the end of the process. */
+    public void logEnd() {
+        LOG.atInfo()
+                .addKeyValue("event", "keeper_node_ended")
+                .addKeyValue("voting", membership.voting())
+                .addKeyValue("turns", index.turnCount())
+                .log();
+    }
+
     /** Starts to take part in view changes and in the exchange with other storage nodes. */
     public void join(StorageNodeRegistry registry) {
         ViewCoordinator coordinator =
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/ledger/BudgetRuleTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/ledger/BudgetRuleTest.java
@@ -59,6 +59,6 @@
     @MethodSource("cases")
     void decidesOnTheUnionOfAllReports(
             String name, List<List<Usage>> reports, long budget, BudgetRule.Verdict verdict) {
-        assertThat(BudgetRule.decide(reports, OWN, 100, budget)).isEqualTo(verdict);
+        assertThat(BudgetRule.decide(reports, OWN, 100, budget).verdict()).isEqualTo(verdict);
     }
 }
