[relay] Repeat settlements until a quorum has acknowledged them

Cause: LedgerClient.settle() gave up after four rounds, about 0.6 s. The reservation stayed open at its full size on the storage nodes until its retention and 30 s had passed.

Ruled out: a settlement that one storage node has taken. The readers' union prefers a settled usage over an open one, so a test with one of three storage nodes up during the outage passed on the unfixed code; the budget is stuck only if no storage node that answers has the settlement.

SettlementQueue keeps settlements until a quorum has acknowledged them, their retention has passed, or 20,000 newer ones are outstanding; the drop is logged with its reason. One task repeats them with the view in force at that time: one at a time while none is acknowledged, then in batches of up to 16, so that storage nodes that come back are not flooded. LedgerClient tells how many are outstanding and can wait for them, for a drain.

Before: settlementThatNoQuorumTookIsRepeatedUntilOneDoes:364 expected to be true (no reservation granted within 20 s of the storage nodes' return).

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
@@ -31,12 +31,14 @@
 
     private static final long RETRY_DELAY_MS = 40;
 
-    private static final int MAX_SETTLE_ROUNDS = 4;
+    /** A settlement takes a few hundred bytes. */
+    private static final int MAX_OUTSTANDING_SETTLEMENTS = 20_000;
 
     private final CurrentView views;
     private final StorageNodeClient storageNodes;
     private final String nearbyAddressPrefix;
     private final ExecutorService executor;
+    private final SettlementQueue settlements;
     private final StorageNodeReachability reachability =
             new StorageNodeReachability(System::nanoTime);
 
@@ -60,6 +62,9 @@
         this.storageNodes = storageNodes;
         this.nearbyAddressPrefix = nearbyAddressPrefix;
         this.executor = executor;
+        this.settlements =
+                new SettlementQueue(
+                        this::trySettle, executor, System::nanoTime, MAX_OUTSTANDING_SETTLEMENTS);
     }
 
     @Override
@@ -224,29 +229,29 @@
 
     @Override
     public void settle(String program, String attempt, int tokens, long retentionMs) {
-        byte[] body = encodeSettlement(program, attempt, tokens, retentionMs);
-        executor.execute(
-                () -> {
-                    try {
-                        for (int round = 0; round < MAX_SETTLE_ROUNDS; round++) {
-                            LedgerView view = views.current();
-                            List<Boolean> acknowledged =
-                                    callAll(view, LedgerOperation.SETTLE, body, _ -> true, true);
-                            if (acknowledged.size() >= view.writeQuorum()) {
-                                return;
-                            }
-                            Thread.sleep(RETRY_DELAY_MS << round);
-                        }
-                        LOG.atWarn()
-                                .addKeyValue("event", "settlement_lost")
-                                .addKeyValue("program", program)
-                                .addKeyValue("request", attempt)
-                                .addKeyValue("tokens", tokens)
-                                .log();
-                    } catch (InterruptedException e) {
-                        Thread.currentThread().interrupt();
-                    }
-                });
+        settlements.add(new Settlement(program, attempt, tokens, retentionMs));
+    }
+
+    private boolean trySettle(Settlement settlement) throws InterruptedException {
+        LedgerView view = views.current();
+        byte[] body = encodeSettlement(settlement);
+        int acknowledged = callAll(view, LedgerOperation.SETTLE, body, _ -> true, true).size();
+        return !view.members().isEmpty() && acknowledged >= view.writeQuorum();
+    }
+
+    /** The number of settlements that no quorum has acknowledged yet. */
+    public int outstandingSettlements() {
+        return settlements.outstanding();
+    }
+
+    /**
+     * Waits until a quorum has acknowledged all settlements, or the time-out has passed.
+     *
+     * @return the number of settlements that are left; the storage nodes go on counting their
+     *     attempts at the most they could spend
+     */
+    public int awaitSettlements(long timeoutMs) throws InterruptedException {
+        return settlements.awaitAcknowledged(timeoutMs);
     }
 
     @Override
@@ -259,7 +264,11 @@
                             LedgerCodec.writeTurn(out, turn);
                             out.write(
                                     encodeSettlement(
-                                            program, turn.id(), tokens, turn.retentionMs()));
+                                            new Settlement(
+                                                    program,
+                                                    turn.id(),
+                                                    tokens,
+                                                    turn.retentionMs())));
                         });
         while (true) {
             LedgerView view = views.current();
@@ -421,14 +430,13 @@
         return responses;
     }
 
-    private static byte[] encodeSettlement(
-            String program, String attempt, int tokens, long retentionMs) {
+    private static byte[] encodeSettlement(Settlement settlement) {
         return LedgerCodec.encode(
                 out -> {
-                    out.writeUTF(program);
-                    out.writeUTF(attempt);
-                    out.writeInt(tokens);
-                    out.writeLong(retentionMs);
+                    out.writeUTF(settlement.program());
+                    out.writeUTF(settlement.attempt());
+                    out.writeInt(settlement.tokens());
+                    out.writeLong(settlement.retentionMs());
                 });
     }
 
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeClusterTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeClusterTest.java
@@ -30,6 +30,7 @@
     private static final long RETENTION_MS = 600_000;
     private static final long TIMEOUT_MS = 5000;
     private static final long NO_RETRY_MS = 1;
+    private static final long OUTAGE_MS = 2000;
 
     @TempDir private Path folder;
 
@@ -345,4 +346,35 @@
                     .isEqualTo(ReserveOutcome.EXHAUSTED);
         }
     }
+
+    @Test
+    void settlementThatNoQuorumTookIsRepeatedUntilOneDoes() throws Exception {
+        try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
+            LedgerClient client = cluster.client();
+            assertThat(client.reserve(reservation("r1", 150), TIMEOUT_MS).outcome())
+                    .isEqualTo(ReserveOutcome.GRANTED);
+            for (String node : List.of("a", "b", "c")) {
+                cluster.stop(node);
+            }
+            client.settle("program", "r1", 40, RETENTION_MS);
+            assertThat(client.append("", turn("t1", ""), 0, OUTAGE_MS)).isFalse();
+            for (String node : List.of("a", "b", "c")) {
+                cluster.restart(node);
+            }
+            assertThat(isGrantedInTheEnd(client, 150)).isTrue();
+        }
+    }
+
+    /** Tries as a caller does, each time with a new attempt. */
+    private static boolean isGrantedInTheEnd(LedgerClient client, long budget)
+            throws InterruptedException {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        for (int attempt = 0; System.nanoTime() < endNs; attempt++) {
+            Reservation next = reservation("retry-" + attempt, budget);
+            if (client.reserve(next, TIMEOUT_MS).outcome() == ReserveOutcome.GRANTED) {
+                return true;
+            }
+        }
+        return false;
+    }
 }
