[relay] Keep a chain of turns as long as its last turn

A program that lived longer than its turns' retention and 30 s was answered 503 for ever for each further turn: its first turns had expired, and LedgerClient.chain logged chain_broken. The users keep a turn "together with its chain".

Cause: RecordIndex gave each turn its own expiry, in memory and, by segments, on disk.

expire() now first extends the predecessors of each stored turn to its expiry. It visits only predecessors that expire earlier, so a pass costs one look-up per stored turn and one walk of a chain per turn that was added since the last pass (every 5 s; at most 590 look-ups for a chain of 590 turns); an append costs nothing more. The order in which turns arrive (sync, replay) does not matter, as nothing is decided before the pass. A segment stays as long as a turn in it is stored, whatever its own entries say, so a restart finds the whole chain.

Cost on disk: a segment (8 MiB) stays as long as the longest-lived program with a turn in it, so the disk holds the writes of that time and the retention instead of the retention alone.

Before: RecordIndexTest.chainIsKeptUntilItsLastTurnExpires (4 orders) expected [t3, t2, t1] but was [t3]; chainIsKeptOnDiskOverRestarts expected [t2, t1] but was [t2]; StorageNodeClusterTest. chainsOutliveTheRetentionOfTheirFirstTurns (3 cases) expected Found but was Uncertain.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordIndex.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordIndex.java
@@ -42,7 +42,19 @@
     private final Map<String, Origins> originsByAttempt = new HashMap<>();
     private final RecordLog log;
 
-    private record IndexedTurn(String previous, RecordLog.Location location, long expiresAtMs) {}
+    private static final class IndexedTurn {
+        final String previous;
+        final RecordLog.Location location;
+
+        /** The latest expiry of this turn and of those that were found to continue from it. */
+        long expiresAtMs;
+
+        IndexedTurn(String previous, RecordLog.Location location, long expiresAtMs) {
+            this.previous = previous;
+            this.location = location;
+            this.expiresAtMs = expiresAtMs;
+        }
+    }
 
     private static final class Program {
         final Map<String, Usage> usages = new HashMap<>();
@@ -225,7 +237,7 @@
         if (indexed == null) {
             return null;
         }
-        byte[] entry = log.read(indexed.location());
+        byte[] entry = log.read(indexed.location);
         return LedgerCodec.decode(
                 entry,
                 in -> {
@@ -254,15 +266,34 @@
         return all;
     }
 
-    /** Removes records that are past their retention and the extra time. */
+    /**
+     * Removes records that are past their retention and the extra time. Turns are kept as long as
+     * one that continues from them.
+     */
     public void expire() {
         long nowMs = wallClockMs.getAsLong();
+        Set<Long> usedSegments = new HashSet<>();
         synchronized (this) {
-            turns.values().removeIf(indexed -> indexed.expiresAtMs() < nowMs);
+            for (IndexedTurn turn : turns.values()) {
+                if (turn.expiresAtMs >= nowMs) {
+                    extendPredecessors(turn);
+                }
+            }
+            turns.values().removeIf(turn -> turn.expiresAtMs < nowMs);
             programs.values().removeIf(program -> program.expiresAtMs < nowMs);
             originsByAttempt.values().removeIf(stored -> stored.expiresAtMs < nowMs);
+            turns.values().forEach(turn -> usedSegments.add(turn.location.segment()));
+        }
+        log.removeExpiredSegments(nowMs, usedSegments);
+    }
+
+    /** Visits only predecessors that expire earlier: the others were extended already. */
+    private void extendPredecessors(IndexedTurn turn) {
+        IndexedTurn previous = turns.get(turn.previous);
+        while (previous != null && previous.expiresAtMs < turn.expiresAtMs) {
+            previous.expiresAtMs = turn.expiresAtMs;
+            previous = turns.get(previous.previous);
         }
-        log.removeExpiredSegments(nowMs);
     }
 
     /** The number of stored turns. */
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordLog.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordLog.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -148,11 +149,17 @@
         }
     }
 
-    /** Removes closed segments whose entries have all expired. */
-    void removeExpiredSegments(long nowMs) {
+    /**
+     * Removes closed segments whose entries have all expired.
+     *
+     * @param used segments to keep in any case
+     */
+    void removeExpiredSegments(long nowMs, Set<Long> used) {
         for (Map.Entry<Long, Segment> entry : segments.entrySet()) {
             Segment segment = entry.getValue();
-            if (segment != activeSegment && segment.latestExpiryMs < nowMs) {
+            if (segment != activeSegment
+                    && segment.latestExpiryMs < nowMs
+                    && !used.contains(entry.getKey())) {
                 segments.remove(entry.getKey());
                 try {
                     segment.channel.close();
--- /dev/null
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/RecordIndexTest.java
@@ -0,0 +1,73 @@
+package org.skylarkmast.relay.storage;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.skylarkmast.relay.ledger.TurnRecord;
+
+class RecordIndexTest {
+    private static final long RETENTION_MS = 60_000;
+
+    @TempDir private Path folder;
+    private final AtomicLong wallClockMs = new AtomicLong();
+
+    private RecordIndex open() throws IOException {
+        return new RecordIndex(folder, wallClockMs::get);
+    }
+
+    private static TurnRecord turn(String id, String previous) {
+        byte[] text = id.getBytes(StandardCharsets.UTF_8);
+        return new TurnRecord(id, previous, text, text, RETENTION_MS);
+    }
+
+    private static List<String> ids(RecordIndex.Chain chain) {
+        return chain.turns().stream().map(TurnRecord::id).toList();
+    }
+
+    private void expireAt(RecordIndex index, long ms) {
+        wallClockMs.set(ms);
+        index.expire();
+    }
+
+    @ParameterizedTest(name = "{0}, then {1}, then {2}")
+    @CsvSource({"t1,t2,t3", "t3,t2,t1", "t2,t3,t1", "t1,t3,t2"})
+    void chainIsKeptUntilItsLastTurnExpires(String first, String second, String third)
+            throws Exception {
+        try (RecordIndex index = open()) {
+            for (String id : List.of(first, second, third)) {
+                int number = id.charAt(1) - '0';
+                wallClockMs.set((number - 1) * 50_000L);
+                index.putTurn(turn(id, number == 1 ? "" : "t" + (number - 1))).get();
+            }
+            expireAt(index, 185_000);
+            assertThat(ids(index.chain("t3"))).containsExactly("t3", "t2", "t1").inOrder();
+            expireAt(index, 190_001);
+            assertThat(index.turnCount()).isEqualTo(0);
+        }
+    }
+
+    @Test
+    void chainIsKeptOnDiskOverRestarts() throws Exception {
+        try (RecordIndex index = open()) {
+            index.putTurn(turn("t1", "")).get();
+        }
+        wallClockMs.set(80_000);
+        try (RecordIndex index = open()) {
+            index.putTurn(turn("t2", "t1")).get();
+        }
+        for (int restart = 0; restart < 2; restart++) {
+            try (RecordIndex index = open()) {
+                expireAt(index, 160_000);
+                assertThat(ids(index.chain("t2"))).containsExactly("t2", "t1").inOrder();
+            }
+        }
+    }
+}
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/RecordLogTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/RecordLogTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -111,7 +112,7 @@
         }
         try (RecordLog log = new RecordLog(folder, (location, entry) -> {})) {
             log.retainUntil(0, 10);
-            log.removeExpiredSegments(11);
+            log.removeExpiredSegments(11, Set.of());
         }
         assertThat(replay()).isEmpty();
     }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeCluster.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeCluster.java
@@ -13,6 +13,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 import org.skylarkmast.core.store.StoreEntry;
 import org.skylarkmast.http.HttpClient;
@@ -37,6 +38,7 @@
     private final Map<String, StorageNode> storageNodes = new LinkedHashMap<>();
     private final Registry registry = new Registry();
     private final CurrentView clientViews = new CurrentView(view -> {});
+    private final AtomicLong clockAheadMs = new AtomicLong();
 
     /** An in-memory registry. */
     private final class Registry implements StorageNodeRegistry {
@@ -96,6 +98,7 @@
         RecordIndex index;
         QuorumMembership membership;
         ViewCoordinator coordinator;
+        HttpHandler handler;
         HttpServer server;
 
         StorageNode(String node) {
@@ -124,7 +127,7 @@
     private void start(StorageNode storageNode, int port) throws IOException {
         Path folder = root.resolve(storageNode.node);
         storageNode.views = new CurrentView(view -> {});
-        storageNode.index = new RecordIndex(folder.resolve("records"), System::currentTimeMillis);
+        storageNode.index = new RecordIndex(folder.resolve("records"), this::wallClockMs);
         HttpServer[] server = new HttpServer[1];
         StorageNodeHandler[] handler = new StorageNodeHandler[1];
         server[0] = bind(port, call -> handler[0].handle(call));
@@ -143,6 +146,7 @@
                                         new HttpClient(4, 300), storageNode.views::offer),
                                 () -> true),
                         new SendRateLimiter(System::nanoTime, 2, () -> 0));
+        storageNode.handler = handler[0];
         storageNode.coordinator =
                 new ViewCoordinator(
                         storageNode.index,
@@ -202,12 +206,35 @@
         storageNode.server = null;
     }
 
+    /** Makes a running storage node unreachable. */
+    void disconnect(String node) {
+        storageNodes.get(node).server.close();
+    }
+
+    /** Ends what {@link #disconnect} began. */
+    void reconnect(String node) throws IOException {
+        StorageNode storageNode = storageNodes.get(node);
+        storageNode.server = bind(port(storageNode), storageNode.handler);
+    }
+
+    private static int port(StorageNode storageNode) {
+        return Integer.parseInt(storageNode.self.address().substring("127.0.0.1:".length()));
+    }
+
+    private long wallClockMs() {
+        return System.currentTimeMillis() + clockAheadMs.get();
+    }
+
+    /** Lets time pass for the retention of records, then removes those that have expired. */
+    void passRetention(long ms) {
+        clockAheadMs.addAndGet(ms);
+        storageNodes.values().forEach(storageNode -> storageNode.index.expire());
+    }
+
     /** Starts a stopped storage node at its previous address. */
     void restart(String node) throws IOException {
         StorageNode storageNode = storageNodes.get(node);
-        start(
-                storageNode,
-                Integer.parseInt(storageNode.self.address().substring("127.0.0.1:".length())));
+        start(storageNode, port(storageNode));
         storageNode.views.offer(registry.view);
     }
 
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeClusterTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeClusterTest.java
@@ -375,4 +375,20 @@
         }
         return false;
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"a", "b", "c"})
+    void chainsOutliveTheRetentionOfTheirFirstTurns(String stopped) throws Exception {
+        try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
+            LedgerClient client = cluster.client();
+            appendChain(client);
+            cluster.passRetention(RETENTION_MS);
+            assertThat(client.append("", turn("t3", "t2"), 0, TIMEOUT_MS)).isTrue();
+            cluster.passRetention(RETENTION_MS / 2);
+            cluster.stop(stopped);
+            assertThat(ids(client.chain("t3", TIMEOUT_MS)))
+                    .containsExactly("t1", "t2", "t3")
+                    .inOrder();
+        }
+    }
 }
