[relay] Have storage nodes fetch turns that they missed of their chains

A storage node that was cut off without a restart never fetched the turns that were written meanwhile: it syncs only when the view changes. Each turn is on a quorum, but not on the same one, so that with a chain's lifetime reaching only the predecessors that are stored beside it, the storage nodes together could let the middle of a chain expire (t1, t2 on b; t2, t3 on c; t1, t3 on a).

RecordIndex now knows the turns that stored ones continue from but that it does not hold. A storage node with a turn thus has its whole chain soon, and a chain stays on as many storage nodes as its last turn. Without missed turns a round does nothing.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordIndex.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordIndex.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -42,6 +43,9 @@
     private final Map<String, Origins> originsByAttempt = new HashMap<>();
     private final RecordLog log;
 
+    /** Ids of turns that stored turns continue from, but that are not stored here. */
+    private final Set<String> missedTurns = new LinkedHashSet<>();
+
     private static final class IndexedTurn {
         final String previous;
         final RecordLog.Location location;
@@ -130,6 +134,8 @@
                                 turns.putIfAbsent(
                                         turn.id(),
                                         new IndexedTurn(turn.previous(), location, expiresAtMs));
+                                missedTurns.remove(turn.id());
+                                noteIfMissed(turn.previous());
                             }
                         });
     }
@@ -247,6 +253,17 @@
                 });
     }
 
+    /**
+     * Returns ids of turns that stored turns continue from, but that are not stored here; other ids
+     * the next time if there are more.
+     */
+    public synchronized List<String> missedTurns(int limit) {
+        List<String> ids = missedTurns.stream().limit(limit).toList();
+        ids.forEach(missedTurns::remove);
+        missedTurns.addAll(ids);
+        return ids;
+    }
+
     /** Returns the ids of all stored turns. */
     public synchronized Set<String> turnIds() {
         return new HashSet<>(turns.keySet());
@@ -274,6 +291,7 @@
         long nowMs = wallClockMs.getAsLong();
         Set<Long> usedSegments = new HashSet<>();
         synchronized (this) {
+            missedTurns.clear();
             for (IndexedTurn turn : turns.values()) {
                 if (turn.expiresAtMs >= nowMs) {
                     extendPredecessors(turn);
@@ -289,13 +307,21 @@
 
     /** Visits only predecessors that expire earlier: the others were extended already. */
     private void extendPredecessors(IndexedTurn turn) {
+        noteIfMissed(turn.previous);
         IndexedTurn previous = turns.get(turn.previous);
         while (previous != null && previous.expiresAtMs < turn.expiresAtMs) {
             previous.expiresAtMs = turn.expiresAtMs;
+            noteIfMissed(previous.previous);
             previous = turns.get(previous.previous);
         }
     }
 
+    private void noteIfMissed(String id) {
+        if (!id.isEmpty() && !turns.containsKey(id)) {
+            missedTurns.add(id);
+        }
+    }
+
     /** The number of stored turns. */
     public synchronized int turnCount() {
         return turns.size();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordSync.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordSync.java
@@ -76,6 +76,36 @@
         return true;
     }
 
+    /**
+     * Fetches turns that stored turns continue from and that this storage node has missed, so that
+     * it holds whole chains. Without them each storage node would let another part of a chain
+     * expire.
+     *
+     * @param sources members of {@code view} that are up
+     */
+    void fetchMissedTurns(LedgerView view, List<LedgerView.Member> sources) {
+        for (LedgerView.Member source : sources) {
+            List<String> missed = index.missedTurns(MAX_FETCH_TURNS);
+            if (missed.isEmpty()) {
+                return;
+            }
+            List<TurnRecord> turns = fetch(source, view, missed);
+            if (turns != null) {
+                awaitWrites(turns.stream().map(index::putTurn).toList());
+            }
+        }
+    }
+
+    private static boolean awaitWrites(List<CompletableFuture<Void>> writes) {
+        try {
+            CompletableFuture.allOf(writes.toArray(new CompletableFuture<?>[0])).join();
+            return true;
+        } catch (CompletionException e) {
+            LOG.atWarn().addKeyValue("event", "sync_write_failed").setCause(e).log();
+            return false;
+        }
+    }
+
     private boolean fetchFrom(LedgerView.Member source, LedgerView view) {
         Summary summary =
                 storageNodes.call(
@@ -114,10 +144,7 @@
             turns.forEach(turn -> writes.add(index.putTurn(turn)));
             fetched = missing.indexOf(turns.getLast().id()) + 1;
         }
-        try {
-            CompletableFuture.allOf(writes.toArray(new CompletableFuture<?>[0])).join();
-        } catch (CompletionException e) {
-            LOG.atWarn().addKeyValue("event", "sync_write_failed").setCause(e).log();
+        if (!awaitWrites(writes)) {
             return false;
         }
         LOG.atInfo()
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/ViewCoordinator.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/ViewCoordinator.java
@@ -29,6 +29,10 @@
 public final class ViewCoordinator {
     private static final Logger LOG = LoggerFactory.getLogger(ViewCoordinator.class);
     private static final long PING_TIMEOUT_MS = 400;
+
+    /** Time since the last response after which records are not fetched from a storage node. */
+    private static final long MAX_SILENCE_MS = PING_TIMEOUT_MS * 4;
+
     private static final long NS_PER_MS = 1_000_000;
     private static final long NEVER_MS = Long.MAX_VALUE / 4;
 
@@ -83,8 +87,13 @@
             List<LedgerView.Member> leaving = new ArrayList<>(registry.registered());
             leaving.addAll(previousView.members());
             leaving.removeAll(view.members());
-            leaving.removeIf(member -> sinceResponseMs(member) > PING_TIMEOUT_MS * 4);
+            leaving.removeIf(member -> sinceResponseMs(member) > MAX_SILENCE_MS);
             recordSync.fetchMissing(view, leaving.stream().distinct().toList());
+        } else if (membership.voting()) {
+            List<LedgerView.Member> sources = new ArrayList<>(view.members());
+            sources.remove(membership.self());
+            sources.removeIf(member -> sinceResponseMs(member) > MAX_SILENCE_MS);
+            recordSync.fetchMissedTurns(view, sources);
         }
         previousView = view;
         if (isCoordinator(view)) {
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeClusterTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeClusterTest.java
@@ -391,4 +391,21 @@
                     .inOrder();
         }
     }
+
+    @Test
+    void storageNodeFetchesTheTurnsThatItMissedOfAChain() throws Exception {
+        try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
+            LedgerClient client = cluster.client();
+            cluster.disconnect("a");
+            appendChain(client);
+            cluster.reconnect("a");
+            assertThat(client.append("", turn("t3", "t2"), 0, TIMEOUT_MS)).isTrue();
+            long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+            while (cluster.turnCount("a") < 3 && System.nanoTime() < endNs) {
+                cluster.passRetention(0);
+                cluster.runAllRounds();
+            }
+            assertThat(cluster.turnCount("a")).isEqualTo(3);
+        }
+    }
 }
