[relay] Keep usages on disk as long as their program is charged

A program that lived longer than its retention and 30 s could be granted its budget again after a restart of the storage nodes.

Cause: in memory, a program's usages are kept until its last one expires. On disk, each segment was removed once its own entries had expired, the program's early usages with it, and the next start did not find them.

Segments are now kept while a program with usages in them is charged.

Before: RecordIndexTest.usagesAreKeptOnDiskAsLongAsTheirProgramIsCharged expected [r1 40 settled, r2 30 settled] but was [r2 30 settled].

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordIndex.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordIndex.java
@@ -62,6 +62,10 @@
 
     private static final class Program {
         final Map<String, Usage> usages = new HashMap<>();
+
+        /** The segments of the log that hold the usages. */
+        final Set<Long> segments = new HashSet<>();
+
         long expiresAtMs;
     }
 
@@ -161,7 +165,8 @@
                             out.writeUTF(program);
                             LedgerCodec.writeUsages(out, List.of(usage));
                         });
-        return log.append(entry, durable, expiresAtMs).thenAccept(location -> {});
+        return log.append(entry, durable, expiresAtMs)
+                .thenAccept(location -> addSegment(program, location));
     }
 
     /**
@@ -285,7 +290,7 @@
 
     /**
      * Removes records that are past their retention and the extra time. Turns are kept as long as
-     * one that continues from them.
+     * one that continues from them, usages as long as their program's last one.
      */
     public void expire() {
         long nowMs = wallClockMs.getAsLong();
@@ -301,6 +306,7 @@
             programs.values().removeIf(program -> program.expiresAtMs < nowMs);
             originsByAttempt.values().removeIf(stored -> stored.expiresAtMs < nowMs);
             turns.values().forEach(turn -> usedSegments.add(turn.location.segment()));
+            programs.values().forEach(program -> usedSegments.addAll(program.segments));
         }
         log.removeExpiredSegments(nowMs, usedSegments);
     }
@@ -359,6 +365,7 @@
                 for (Usage usage : LedgerCodec.readUsages(in)) {
                     merge(program, usage, expiresAtMs);
                 }
+                addSegment(program, location);
             }
             case ORIGIN_ENTRY -> {
                 String attempt = in.readUTF();
@@ -382,6 +389,13 @@
         return true;
     }
 
+    private synchronized void addSegment(String program, RecordLog.Location location) {
+        Program stored = programs.get(program);
+        if (stored != null) {
+            stored.segments.add(location.segment());
+        }
+    }
+
     private void addOrigin(String attempt, StreamOrigin origin, long expiresAtMs) {
         Origins stored = originsByAttempt.computeIfAbsent(attempt, name -> new Origins());
         stored.origins.add(origin);
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/RecordIndexTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/RecordIndexTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.skylarkmast.relay.ledger.TurnRecord;
+import org.skylarkmast.relay.ledger.Usage;
 
 class RecordIndexTest {
     private static final long RETENTION_MS = 60_000;
@@ -70,4 +71,22 @@
             }
         }
     }
+
+    @Test
+    void usagesAreKeptOnDiskAsLongAsTheirProgramIsCharged() throws Exception {
+        Usage early = new Usage("r1", 40, true);
+        Usage late = new Usage("r2", 30, true);
+        try (RecordIndex index = open()) {
+            index.putUsage("program", early, RETENTION_MS, true).get();
+        }
+        wallClockMs.set(80_000);
+        try (RecordIndex index = open()) {
+            index.putUsage("program", late, RETENTION_MS, true).get();
+            expireAt(index, 160_000);
+            assertThat(index.usages("program")).containsExactly(early, late);
+        }
+        try (RecordIndex index = open()) {
+            assertThat(index.usages("program")).containsExactly(early, late);
+        }
+    }
 }
