--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
@@ -15,18 +15,6 @@
 public final class LedgerClient implements TurnLedger {
     private static final Logger LOG = LoggerFactory.getLogger(LedgerClient.class);
 
-    /**
-     * A write and its sync take a few milliseconds; the time-out covers connections that never
-     * answer.
-     */
-    private static final long CALL_TIMEOUT_MS = 400;
-
-    /**
-     * Extra wait for the remaining storage nodes after a quorum has answered: answers from all of
-     * them make the second round of a reservation unnecessary.
-     */
-    private static final long STRAGGLER_WAIT_MS = 12;
-
     private static final long FIRST_QUORUM_POLL_MS = 20;
 
     private static final long RETRY_DELAY_MS = 40;
@@ -38,6 +26,7 @@
     private final StorageNodeClient storageNodes;
     private final String nearbyAddressPrefix;
     private final ExecutorService executor;
+    private final QuorumCalls calls;
     private final SettlementQueue settlements;
     private final StorageNodeReachability reachability =
             new StorageNodeReachability(System::nanoTime);
@@ -62,6 +51,7 @@
         this.storageNodes = storageNodes;
         this.nearbyAddressPrefix = nearbyAddressPrefix;
         this.executor = executor;
+        this.calls = new QuorumCalls(storageNodes, reachability, executor);
         this.settlements =
                 new SettlementQueue(
                         this::trySettle, executor, System::nanoTime, MAX_OUTSTANDING_SETTLEMENTS);
@@ -116,7 +106,7 @@
                         view.version(),
                         LedgerOperation.PING,
                         body,
-                        CALL_TIMEOUT_MS,
+                        QuorumCalls.CALL_TIMEOUT_MS,
                         LedgerClient::readVoting);
         reachability.recordCall(member, voting != null);
     }
@@ -167,7 +157,8 @@
                             out.writeUTF(reservation.resumedAttempt());
                         });
         List<UsageReport> written =
-                callAll(view, LedgerOperation.RESERVE, body, LedgerClient::readUsageReport, true);
+                calls.callAll(
+                        view, LedgerOperation.RESERVE, body, LedgerClient::readUsageReport, true);
         if (written.size() < view.writeQuorum()) {
             return unavailable;
         }
@@ -181,7 +172,7 @@
             // written last sees all others.
             byte[] program = LedgerCodec.encode(out -> out.writeUTF(reservation.program()));
             read =
-                    callAll(
+                    calls.callAll(
                             view,
                             LedgerOperation.USAGE,
                             program,
@@ -235,7 +226,8 @@
     private boolean trySettle(Settlement settlement) throws InterruptedException {
         LedgerView view = views.current();
         byte[] body = encodeSettlement(settlement);
-        int acknowledged = callAll(view, LedgerOperation.SETTLE, body, _ -> true, true).size();
+        int acknowledged =
+                calls.callAll(view, LedgerOperation.SETTLE, body, _ -> true, true).size();
         return !view.members().isEmpty() && acknowledged >= view.writeQuorum();
     }
 
@@ -273,7 +265,7 @@
         while (true) {
             LedgerView view = views.current();
             List<Boolean> acknowledged =
-                    callAll(view, LedgerOperation.APPEND, body, _ -> true, false);
+                    calls.callAll(view, LedgerOperation.APPEND, body, _ -> true, false);
             if (!view.members().isEmpty() && acknowledged.size() >= view.writeQuorum()) {
                 return true;
             }
@@ -336,7 +328,7 @@
             List<LedgerView.Member> group =
                     i == 0 ? List.of(members.get(0)) : members.subList(1, members.size());
             List<ChainPart> parts =
-                    callMembers(
+                    calls.callMembers(
                             group,
                             view,
                             LedgerOperation.CHAIN,
@@ -370,66 +362,6 @@
         return members;
     }
 
-    private <T> List<T> callAll(
-            LedgerView view,
-            LedgerOperation operation,
-            byte[] body,
-            LedgerCodec.Reader<T> reader,
-            boolean waitForStragglers)
-            throws InterruptedException {
-        return callMembers(
-                view.members(),
-                view,
-                operation,
-                body,
-                reader,
-                waitForStragglers,
-                view.writeQuorum());
-    }
-
-    private <T> List<T> callMembers(
-            List<LedgerView.Member> members,
-            LedgerView view,
-            LedgerOperation operation,
-            byte[] body,
-            LedgerCodec.Reader<T> reader,
-            boolean waitForStragglers,
-            int required)
-            throws InterruptedException {
-        ResponseCollector<T> collector = new ResponseCollector<>(members.size());
-        for (LedgerView.Member member : members) {
-            executor.execute(
-                    () -> {
-                        T response = null;
-                        try {
-                            response =
-                                    storageNodes.call(
-                                            member,
-                                            view.version(),
-                                            operation,
-                                            body,
-                                            CALL_TIMEOUT_MS,
-                                            reader);
-                        } finally {
-                            reachability.recordCall(member, response != null);
-                            collector.onCompleted(response);
-                        }
-                    });
-        }
-        List<T> responses = collector.await(required, CALL_TIMEOUT_MS * 2);
-        int memberCount = members.size();
-        if (waitForStragglers && responses.size() < memberCount) {
-            int expected = 0;
-            for (LedgerView.Member member : members) {
-                expected += reachability.isSuspected(member) ? 0 : 1;
-            }
-            if (responses.size() < expected) {
-                responses = collector.await(expected, STRAGGLER_WAIT_MS);
-            }
-        }
-        return responses;
-    }
-
     private static byte[] encodeSettlement(Settlement settlement) {
         return LedgerCodec.encode(
                 out -> {
