[relay] Close idle connections of callers without racing with requests

What callers saw: during the shutdown of an entry node a request on a kept connection was passed on to a runner, and its connection was closed without an answer.

Cause: CallerServer.closeIdle() read whether a request was in progress and then closed the connection. A request that began between the two steps was served on a connection that was about to be closed.

Change: the state of a connection (idle, serving, closed) is one value that changes by compare-and-set, ConnectionActivity. A request begins only from idle, and closing succeeds only from idle, so that one of them always loses. A request that loses is not passed on; its caller sees a connection that closes as its request crosses the close.

Ruled out: other threads that close a connection in this phase. The head time-out and the abort after the deadline concern one request only.

Test: a socket tells when it is about to be closed, and the request is sent at that point.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -44,14 +44,7 @@
     private volatile boolean draining;
 
     /** An open connection and whether a request on it is in progress. */
-    private static final class OpenConnection {
-        final CallerConnection connection;
-        volatile boolean requestInProgress;
-
-        OpenConnection(CallerConnection connection) {
-            this.connection = connection;
-        }
-    }
+    private record OpenConnection(CallerConnection connection, ConnectionActivity activity) {}
 
     /**
      * Binds {@code address}; the operating system queues connections until a server accepts them.
@@ -101,10 +94,10 @@
         return openConnections.size();
     }
 
-    /** Closes the connections that have no request in progress. */
+    /** Closes the connections that have no request in progress; none begins on them any more. */
     public void closeIdle() {
         for (OpenConnection open : openConnections) {
-            if (!open.requestInProgress) {
+            if (open.activity.closeIfIdle()) {
                 open.connection.close();
             }
         }
@@ -142,16 +135,15 @@
         try (socket) {
             socket.setTcpNoDelay(true);
             CallerConnection connection = new CallerConnection(socket, limits().maxHeadBytes());
-            open = new OpenConnection(connection);
+            open = new OpenConnection(connection, new ConnectionActivity());
             openConnections.add(open);
             boolean reusable = true;
             while (reusable) {
-                open.requestInProgress = false;
+                open.activity.endRequest();
                 socket.setSoTimeout((int) limits().idleTimeoutMs());
-                if (!connection.awaitRequest()) {
+                if (!connection.awaitRequest() || !open.activity.beginRequest()) {
                     break;
                 }
-                open.requestInProgress = true;
                 reusable = serveRequest(socket, connection);
             }
         } catch (SocketTimeoutException e) {
