[relay] Reject late requests that the end of a shutdown would cut off

What callers saw: a request on a kept connection, sent more than 3 s after the SIGTERM of an entry node, was passed on to a runner and cut off without an answer as the process ended, after five sixths of the grace period.

Cause: a stream whose head was written before the signal does not tell its caller that the connection closes. Its caller could use the connection again as soon as the stream had ended, up to 20 ms before the shutdown closed it as idle, and the new request could last its whole time limit.

Change: DrainTimeline knows when the node stops to accept connections and when it ends. Once it no longer accepts, a connection that finishes its answer closes by itself, and a request that arrives all the same (it was read while the last one was served, or its head had begun) is compared with the time left: if its deadline or its route's time-out is longer, it is rejected as not run (503, Retry-After 0.1 s, Connection: close), or as misdirected (421) if another entry node passed it on, which then tries the next one. A request that fits is served as before. A node that shuts down without a configuration does not wait for one longer than it has time.

While the node accepts connections (2.5 s) it serves every request: the load balancer still sends new callers, and to reject all requests of a route with a long time limit would cost them more than the rare answer that lasts over four seconds.

Ruled out: requests of a node with a grace period of 8 s that are read in the first 2.5 s; 4 s of time limit end before 6.7 s.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongPredicate;
 import org.skylarkmast.relay.http.CallerConnection;
 import org.skylarkmast.relay.http.InboundRequest;
 import org.skylarkmast.relay.http.MalformedMessageException;
@@ -46,10 +47,13 @@
     private final RoutingState routing;
     private final ForwardingContext context;
     private final WireDialect dialect;
+    private final LongPredicate admitsLimitMs;
     private final ScheduledExecutorService timers;
     private final DoubleSupplier random;
 
     /**
+     * @param admitsLimitMs whether a request that may last this many ms can be served before the
+     *     node ends
      * @param executor runs ledger reads concurrently with a reservation
      * @param random uniform in [0, 1)
      */
@@ -63,6 +67,7 @@
             WireDialect dialect,
             TurnLedger ledger,
             RequestLog requestLog,
+            LongPredicate admitsLimitMs,
             ExecutorService executor,
             ScheduledExecutorService timers,
             DoubleSupplier random) {
@@ -80,6 +85,7 @@
                         new RefusalWriter(dialect, requestLog),
                         executor);
         this.dialect = dialect;
+        this.admitsLimitMs = admitsLimitMs;
         this.timers = timers;
         this.random = random;
     }
@@ -146,7 +152,9 @@
             return context.refusals()
                     .refuse(caller, call.requestId(), misdirected, closeAfterAnswer, entry);
         }
-        RoutingConfiguration configuration = routing.await(startupWaitMs(call));
+        long startupWaitMs = startupWaitMs(call);
+        RoutingConfiguration configuration =
+                routing.await(admitsLimitMs.test(startupWaitMs) ? startupWaitMs : 0);
         if (configuration == null) {
             Refusal refusal =
                     Refusal.notRun(OTHER_NODE_RETRY_AFTER_MS, "no configuration known yet");
@@ -200,6 +208,15 @@
         if (call.deadlineMs() != CallMetadata.UNSET) {
             remainingMs = Math.min(remainingMs, call.deadlineMs());
         }
+        if (!admitsLimitMs.test(remainingMs)) {
+            return context.refusals()
+                    .refuse(
+                            caller,
+                            call.requestId(),
+                            shuttingDown(fromPeer),
+                            closeAfterAnswer,
+                            entry);
+        }
         Exchange exchange =
                 new Exchange(
                         caller, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(remainingMs));
@@ -233,6 +250,14 @@
         }
     }
 
+    /** The entry node that passed a request on tries another one if this one is misdirected. */
+    private static Refusal shuttingDown(boolean fromPeer) {
+        String reason = "this node is shutting down";
+        return fromPeer
+                ? Refusal.of(MISDIRECTED_REQUEST, reason)
+                : Refusal.notRun(OTHER_NODE_RETRY_AFTER_MS, reason);
+    }
+
     /** Returns how long a request may wait for the data that a node receives after its start. */
     static long startupWaitMs(CallMetadata call) {
         boolean unset = call.deadlineMs() == CallMetadata.UNSET;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/CallerConnection.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/CallerConnection.java
@@ -48,6 +48,11 @@
         return input.awaitInput();
     }
 
+    /** Whether input that no request has consumed was read, or the end of the input was. */
+    public boolean hasInput() {
+        return !input.isIdle();
+    }
+
     /**
      * Reads the request line and the header fields of a request.
      *
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -42,6 +42,7 @@
     private final ScheduledExecutorService timers;
     private final Set<OpenConnection> openConnections = ConcurrentHashMap.newKeySet();
     private volatile boolean draining;
+    private volatile boolean keepsIdle = true;
 
     /** An open connection and whether a request on it is in progress. */
     private record OpenConnection(CallerConnection connection, ConnectionActivity activity) {}
@@ -94,8 +95,12 @@
         return openConnections.size();
     }
 
-    /** Closes the connections that have no request in progress; none begins on them any more. */
+    /**
+     * Closes the connections that have no request in progress; none begins on them any more. Each
+     * other connection closes as soon as it has none.
+     */
     public void closeIdle() {
+        keepsIdle = false;
         for (OpenConnection open : openConnections) {
             if (open.activity.closeIfIdle()) {
                 open.connection.close();
@@ -138,12 +143,7 @@
             open = new OpenConnection(connection, new ConnectionActivity());
             openConnections.add(open);
             boolean reusable = true;
-            while (reusable) {
-                open.activity.endRequest();
-                socket.setSoTimeout((int) limits().idleTimeoutMs());
-                if (!connection.awaitRequest() || !open.activity.beginRequest()) {
-                    break;
-                }
+            while (reusable && awaitRequest(socket, open)) {
                 reusable = serveRequest(socket, connection);
             }
         } catch (SocketTimeoutException e) {
@@ -164,6 +164,24 @@
         }
     }
 
+    /**
+     * Waits for the next request.
+     *
+     * @return false if there is none, because the caller or this server closes the connection
+     */
+    private boolean awaitRequest(Socket socket, OpenConnection open) throws IOException {
+        socket.setSoTimeout((int) limits().idleTimeoutMs());
+        // A request that was read while the last one was served is in progress already.
+        if (open.connection.hasInput()) {
+            return open.connection.awaitRequest();
+        }
+        open.activity.endRequest();
+        if (!keepsIdle && open.activity.closeIfIdle()) {
+            return false;
+        }
+        return open.connection.awaitRequest() && open.activity.beginRequest();
+    }
+
     private boolean serveRequest(Socket socket, CallerConnection connection)
             throws IOException, InterruptedException {
         CallerLimits limits = limits();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -64,12 +64,6 @@
     /** Pause between load reports; faults of runners last for seconds. */
     private static final long REPORT_MS = 1000;
 
-    /** Fraction of the grace period left unused, so that the process exits before it is killed. */
-    private static final double UNUSED_GRACE_FRACTION = 1.0 / 6;
-
-    /** Time for the load balancer to notice that the node is not ready. */
-    private static final long READINESS_NOTICE_MS = 2500;
-
     private final RelaySettings settings;
     private final RoutingState routing = new RoutingState();
     private final RunnerDirectory directory = new RunnerDirectory();
@@ -86,7 +80,7 @@
     private final LedgerClient ledger;
     private final RequestLog requestLog = new RequestLog(registry);
     private final AtomicInteger entryNodeCount = new AtomicInteger();
-    private volatile boolean draining;
+    private final DrainTimeline drainTimeline;
 
     /**
      * Starts the node.
@@ -95,6 +89,7 @@
      */
     public EntryNode(RelaySettings settings, WireDialect dialect) throws IOException {
         this.settings = settings;
+        this.drainTimeline = new DrainTimeline(settings.graceMs(), System::nanoTime);
         // Bound first: callers that connect during the rest of the start wait about 100 ms and are
         // then served instead of refused.
         ServerSocket listener = CallerServer.bind(settings.callersAddress());
@@ -123,6 +118,7 @@
                         dialect,
                         ledger,
                         requestLog,
+                        drainTimeline::admits,
                         executor,
                         timers,
                         () -> ThreadLocalRandom.current().nextDouble());
@@ -304,6 +300,11 @@
         return callerServer.port();
     }
 
+    /** Returns the port on which other entry nodes connect. */
+    public int peersPort() {
+        return peerServer.port();
+    }
+
     /** Stops accepting connections from callers and other entry nodes. */
     @Override
     public void close() {
@@ -317,7 +318,10 @@
      */
     public boolean ready() {
         boolean servesRequests = !reachability.isCutOff() || !peers.isEmpty();
-        return !draining && routing.current() != null && ledger.reachable() && servesRequests;
+        return !drainTimeline.hasStarted()
+                && routing.current() != null
+                && ledger.reachable()
+                && servesRequests;
     }
 
     /**
@@ -325,17 +329,18 @@
      *
      * <p>Open connections are served, but each response closes its connection. Once the load
      * balancer has had time to notice, the node stops accepting connections, closes idle ones and
-     * waits for the requests in progress, at most for the grace period less its unused fraction.
+     * waits for the requests in progress, at most for the grace period less its unused fraction. A
+     * request that arrives on an open connection meanwhile is rejected as not run if its time limit
+     * is longer than the rest of that time; a connection whose answer began before the shutdown
+     * closes after it.
      */
     public void drain() {
         LOG.atInfo().addKeyValue("event", "drain_started").log();
-        long startedNs = System.nanoTime();
-        draining = true;
+        drainTimeline.start();
         callerServer.drain();
         peerServer.drain();
-        long maxMs = (long) (settings.graceMs() * (1 - UNUSED_GRACE_FRACTION));
         try {
-            while (elapsedMs(startedNs) < Math.min(READINESS_NOTICE_MS, maxMs)) {
+            while (drainTimeline.isAccepting()) {
                 Thread.sleep(DRAIN_POLL_MS);
             }
             close();
@@ -343,7 +348,7 @@
                     .addKeyValue("event", "drain_closing")
                     .addKeyValue("openConnections", openConnections())
                     .log();
-            while (openConnections() > 0 && elapsedMs(startedNs) < maxMs) {
+            while (openConnections() > 0 && !drainTimeline.hasEnded()) {
                 callerServer.closeIdle();
                 peerServer.closeIdle();
                 Thread.sleep(DRAIN_POLL_MS);
@@ -355,7 +360,7 @@
                 .addKeyValue("event", "drain_ended")
                 .addKeyValue("openConnections", openConnections())
                 .addKeyValue("requestsCutOff", requestLog.logUnfinished())
-                .addKeyValue("tookMs", elapsedMs(startedNs))
+                .addKeyValue("tookMs", drainTimeline.elapsedMs())
                 .log();
     }
 
@@ -363,10 +368,6 @@
         return callerServer.connectionCount() + peerServer.connectionCount();
     }
 
-    private static long elapsedMs(long startedNs) {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs);
-    }
-
     private void gauge(String name, String help, java.util.function.LongSupplier value) {
         GaugeWithCallback.builder()
                 .name(name)
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/node/CallerServerTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/node/CallerServerTest.java
@@ -65,6 +65,53 @@
         }
     }
 
+    /** Guards against keeping a connection whose next request would be cut off. */
+    @Test
+    void closesConnectionAfterAnswerOnceIdleOnesAreClosed() throws Exception {
+        CountDownLatch serving = new CountDownLatch(1);
+        CountDownLatch proceed = new CountDownLatch(1);
+        RequestServer requests =
+                (connection, request, body, closeAfterAnswer) -> {
+                    serving.countDown();
+                    awaitUninterrupted(proceed);
+                    return answer(connection);
+                };
+        try (CallerServer server = server(CallerServer.bind("127.0.0.1:0"), requests);
+                Socket caller = connect(server)) {
+            send(caller);
+            serving.await();
+            server.closeIdle();
+            proceed.countDown();
+            assertThat(readToEnd(caller)).endsWith("body");
+        }
+    }
+
+    /** A request that was read while the last one was served must be answered too. */
+    @Test
+    void servesRequestThatWasReadBeforeIdleConnectionsWereClosed() throws Exception {
+        CountDownLatch serving = new CountDownLatch(1);
+        CountDownLatch proceed = new CountDownLatch(1);
+        RequestServer requests =
+                (connection, request, body, closeAfterAnswer) -> {
+                    serving.countDown();
+                    awaitUninterrupted(proceed);
+                    return answer(connection);
+                };
+        try (CallerServer server = server(CallerServer.bind("127.0.0.1:0"), requests);
+                Socket caller = connect(server)) {
+            caller.getOutputStream()
+                    .write((REQUEST + REQUEST).getBytes(StandardCharsets.ISO_8859_1));
+            serving.await();
+            server.closeIdle();
+            proceed.countDown();
+            assertThat(readToEnd(caller).split("HTTP/1.1 200", -1)).hasLength(3);
+        }
+    }
+
+    private static String readToEnd(Socket caller) throws IOException {
+        return new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
     private static void awaitUninterrupted(CountDownLatch latch) {
         try {
             latch.await();
