--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -42,16 +42,10 @@
     private final ScheduledExecutorService timers;
     private final Set<OpenConnection> openConnections = ConcurrentHashMap.newKeySet();
     private volatile boolean draining;
+    private volatile boolean keepsIdle = true;
 
     /** An open connection and whether a request on it is in progress. */
-    private static final class OpenConnection {
-        final CallerConnection connection;
-        volatile boolean requestInProgress;
-
-        OpenConnection(CallerConnection connection) {
-            this.connection = connection;
-        }
-    }
+    private record OpenConnection(CallerConnection connection, ConnectionActivity activity) {}
 
     /**
      * Binds {@code address}; the operating system queues connections until a server accepts them.
@@ -101,10 +95,14 @@
         return openConnections.size();
     }
 
-    /** Closes the connections that have no request in progress. */
+    /**
+     * Closes the connections that have no request in progress; none begins on them any more. Each
+     * other connection closes as soon as it has none.
+     */
     public void closeIdle() {
+        keepsIdle = false;
         for (OpenConnection open : openConnections) {
-            if (!open.requestInProgress) {
+            if (open.activity.closeIfIdle()) {
                 open.connection.close();
             }
         }
@@ -142,16 +140,10 @@
         try (socket) {
             socket.setTcpNoDelay(true);
             CallerConnection connection = new CallerConnection(socket, limits().maxHeadBytes());
-            open = new OpenConnection(connection);
+            open = new OpenConnection(connection, new ConnectionActivity());
             openConnections.add(open);
             boolean reusable = true;
-            while (reusable) {
-                open.requestInProgress = false;
-                socket.setSoTimeout((int) limits().idleTimeoutMs());
-                if (!connection.awaitRequest()) {
-                    break;
-                }
-                open.requestInProgress = true;
+            while (reusable && awaitRequest(socket, open)) {
                 reusable = serveRequest(socket, connection);
             }
         } catch (SocketTimeoutException e) {
@@ -172,6 +164,24 @@
         }
     }
 
+    /**
+     * Waits for the next request.
+     *
+     * @return false if there is none, because the caller or this server closes the connection
+     */
+    private boolean awaitRequest(Socket socket, OpenConnection open) throws IOException {
+        socket.setSoTimeout((int) limits().idleTimeoutMs());
+        // A request that was read while the last one was served is in progress already.
+        if (open.connection.hasInput()) {
+            return open.connection.awaitRequest();
+        }
+        open.activity.endRequest();
+        if (!keepsIdle && open.activity.closeIfIdle()) {
+            return false;
+        }
+        return open.connection.awaitRequest() && open.activity.beginRequest();
+    }
+
     private boolean serveRequest(Socket socket, CallerConnection connection)
             throws IOException, InterruptedException {
         CallerLimits limits = limits();
