[relay] Wait for outstanding settlements at the end of a drain

The last request that a node serves before its shutdown ends could leave its settlement in the queue: the reservation then counted at its most. A drain now waits up to 200 ms for a quorum to acknowledge them, and drain_ended tells how many are left.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -61,6 +61,9 @@
     /** Maximum wait for a runner to accept a probe; connecting takes a few milliseconds. */
     private static final int PROBE_TIMEOUT_MS = 250;
 
+    /** Longest wait of a shutdown for settlements; a storage node takes one in milliseconds. */
+    private static final long SETTLEMENT_WAIT_MS = 200;
+
     /** Pause between load reports; faults of runners last for seconds. */
     private static final long REPORT_MS = 1000;
 
@@ -353,12 +356,14 @@
                 peerServer.closeIdle();
                 Thread.sleep(DRAIN_POLL_MS);
             }
+            ledger.awaitSettlements(SETTLEMENT_WAIT_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         LOG.atInfo()
                 .addKeyValue("event", "drain_ended")
                 .addKeyValue("openConnections", openConnections())
+                .addKeyValue("settlementsLeft", ledger.outstandingSettlements())
                 .addKeyValue("requestsCutOff", requestLog.logUnfinished())
                 .addKeyValue("tookMs", drainTimeline.elapsedMs())
                 .log();
