[relay] Count a caller's connection from the moment it is accepted

What callers could see: a request on a connection that was accepted as the listener closed ended without an answer, since the shutdown of the entry node saw no open connection and ended the process.

Cause: a connection was counted by its own thread, after the accepting thread had started it. Between the two the shutdown did not know of it.

Change: the accepting thread counts the connection before it starts its thread, and CallerServer.close() waits for the accepting thread, which does nothing that blocks once the listener is closed. After close() the number of open connections includes every accepted one, so the shutdown closes it as idle or waits for its request.

Test: a listener hands out its connection only after it has been closed.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -41,6 +41,7 @@
     private final RoutingState routing;
     private final ScheduledExecutorService timers;
     private final Set<OpenConnection> openConnections = ConcurrentHashMap.newKeySet();
+    private final Thread acceptor;
     private volatile boolean draining;
     private volatile boolean keepsIdle = true;
 
@@ -75,7 +76,7 @@
         this.requests = requests;
         this.routing = routing;
         this.timers = timers;
-        Thread.ofPlatform().name("accept").daemon().start(this::accept);
+        this.acceptor = Thread.ofPlatform().name("accept").daemon().start(this::accept);
     }
 
     /** Returns the port that the server listens on. */
@@ -108,6 +109,7 @@
         }
     }
 
+    /** Stops accepting connections; those accepted before count as open once this returns. */
     @Override
     public void close() {
         try {
@@ -115,13 +117,17 @@
         } catch (IOException e) {
             LOG.atWarn().addKeyValue("event", "listener_not_closed").setCause(e).log();
         }
+        try {
+            acceptor.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private void accept() {
         while (!listener.isClosed()) {
             try {
-                Socket socket = listener.accept();
-                Thread.ofVirtual().start(() -> serve(socket));
+                open(listener.accept());
             } catch (IOException e) {
                 if (!listener.isClosed()) {
                     LOG.atWarn().addKeyValue("event", "accept_failed").setCause(e).log();
@@ -135,16 +141,21 @@
         return configuration == null ? DEFAULT_LIMITS : configuration.limits();
     }
 
-    private void serve(Socket socket) {
-        OpenConnection open = null;
+    private void open(Socket socket) throws IOException {
+        OpenConnection open =
+                new OpenConnection(
+                        new CallerConnection(socket, limits().maxHeadBytes()),
+                        new ConnectionActivity());
+        openConnections.add(open);
+        Thread.ofVirtual().start(() -> serve(socket, open));
+    }
+
+    private void serve(Socket socket, OpenConnection open) {
         try (socket) {
             socket.setTcpNoDelay(true);
-            CallerConnection connection = new CallerConnection(socket, limits().maxHeadBytes());
-            open = new OpenConnection(connection, new ConnectionActivity());
-            openConnections.add(open);
             boolean reusable = true;
             while (reusable && awaitRequest(socket, open)) {
-                reusable = serveRequest(socket, connection);
+                reusable = serveRequest(socket, open.connection);
             }
         } catch (SocketTimeoutException e) {
             LOG.atDebug().addKeyValue("event", "caller_idle").log();
@@ -154,13 +165,9 @@
             Thread.currentThread().interrupt();
         } catch (RuntimeException e) {
             LOG.atError().addKeyValue("event", "request_failed").setCause(e).log();
-            if (open != null) {
-                open.connection.abort();
-            }
+            open.connection.abort();
         } finally {
-            if (open != null) {
-                openConnections.remove(open);
-            }
+            openConnections.remove(open);
         }
     }
 
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/node/CallerServerTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/node/CallerServerTest.java
@@ -108,6 +108,38 @@
         }
     }
 
+    /** Guards against a shutdown that ends before it sees a connection that was just accepted. */
+    @Test
+    void countsEveryAcceptedConnectionOnceItIsClosed() throws Exception {
+        CountDownLatch accepted = new CountDownLatch(1);
+        CountDownLatch closed = new CountDownLatch(1);
+        ServerSocket listener =
+                new ServerSocket(0, 1, InetAddress.getLoopbackAddress()) {
+                    @Override
+                    public Socket accept() throws IOException {
+                        Socket socket = super.accept();
+                        accepted.countDown();
+                        awaitUninterrupted(closed);
+                        return socket;
+                    }
+
+                    @Override
+                    public void close() throws IOException {
+                        super.close();
+                        closed.countDown();
+                    }
+                };
+        RequestServer requests = (connection, request, body, close) -> answer(connection);
+        CallerServer server = server(listener, requests);
+        try (Socket caller = connect(server)) {
+            accepted.await();
+            server.close();
+            assertThat(server.connectionCount()).isEqualTo(1);
+            server.closeIdle();
+            assertThat(readToEnd(caller)).isEmpty();
+        }
+    }
+
     private static String readToEnd(Socket caller) throws IOException {
         return new String(caller.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
     }
