[platform] Read no request before an entry node handles signals

What callers saw: a request that an entry node had read while it started was cut off without an answer by a SIGTERM, without a drain_started line.

Cause: EntryNode accepted connections in its constructor, and PlatformMain installed the shutdown hook afterwards. A signal between the two ended the process at once.

A node whose shutdown began first accepts until the shutdown closes its listeners, and none afterwards.

By reading: SIGHUP before its handler is installed ends the process, but before it binds any address.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -66,7 +66,9 @@
         return listener;
     }
 
-    /** Starts accepting from {@code listener}, which {@link #close} closes. */
+    /**
+     * @param listener accepts connections once {@link #start} is called; closed by {@link #close}
+     */
     public CallerServer(
             ServerSocket listener,
             RequestServer requests,
@@ -76,7 +78,12 @@
         this.requests = requests;
         this.routing = routing;
         this.timers = timers;
-        this.acceptor = Thread.ofPlatform().name("accept").daemon().start(this::accept);
+        this.acceptor = Thread.ofPlatform().name("accept").daemon().unstarted(this::accept);
+    }
+
+    /** Starts accepting connections; the server accepts none if it has been closed. */
+    public void start() {
+        acceptor.start();
     }
 
     /** Returns the port that the server listens on. */
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -83,7 +83,7 @@
     private final DrainTimeline drainTimeline;
 
     /**
-     * Starts the node.
+     * Starts the node; it accepts connections once {@link #startAccepting} is called.
      *
      * @throws IOException if an address cannot be bound
      */
@@ -280,6 +280,15 @@
         var _ = new MirrorClient(store, keys, mirror, ledger);
     }
 
+    /**
+     * Starts accepting connections from callers and other entry nodes. Whatever ends the process
+     * must lead to {@link #drain} from then on.
+     */
+    public void startAccepting() {
+        callerServer.start();
+        peerServer.start();
+    }
+
     /** Returns the routing state, which receives configurations. */
     public RoutingState routing() {
         return routing;
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/node/CallerServerTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/node/CallerServerTest.java
@@ -162,7 +162,9 @@
     }
 
     private CallerServer server(ServerSocket listener, RequestServer requests) {
-        return new CallerServer(listener, requests, new RoutingState(), timers);
+        CallerServer server = new CallerServer(listener, requests, new RoutingState(), timers);
+        server.start();
+        return server;
     }
 
     private static Socket connect(CallerServer server) throws IOException {
