[relay] Make the fake sender of the settlement queue's test atomic

repeatsEachSettlementUntilItIsAcknowledged failed once, at load 28: missing r2 while none was outstanding. The fake read its volatile flag twice, so a send during the switch was acknowledged without being recorded. It reads it once now. Concurrency is counted among repeats only, so that a first send that the machine delays does not count, and the test of the capacity lets a running repetition end first. Nothing is relaxed.

--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/ledger/SettlementQueueTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/ledger/SettlementQueueTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -22,9 +24,11 @@
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final AtomicLong clockNs = new AtomicLong();
     private final ConcurrentLinkedQueue<String> acknowledged = new ConcurrentLinkedQueue<>();
-    private final Semaphore failures = new Semaphore(0);
-    private final AtomicInteger concurrentSends = new AtomicInteger();
-    private final AtomicInteger maxConcurrentSends = new AtomicInteger();
+    private final Set<String> sentOnce = ConcurrentHashMap.newKeySet();
+    private final Semaphore firstSends = new Semaphore(0);
+    private final Semaphore repeats = new Semaphore(0);
+    private final AtomicInteger concurrentRepeats = new AtomicInteger();
+    private final AtomicInteger maxConcurrentRepeats = new AtomicInteger();
     private volatile boolean reachable;
 
     private final SettlementQueue queue =
@@ -36,17 +40,19 @@
     }
 
     private boolean send(Settlement settlement) {
-        maxConcurrentSends.accumulateAndGet(concurrentSends.incrementAndGet(), Math::max);
-        try {
-            if (reachable) {
-                acknowledged.add(settlement.attempt());
-            } else {
-                failures.release();
-            }
-            return reachable;
-        } finally {
-            concurrentSends.decrementAndGet();
+        boolean acknowledges = reachable;
+        if (acknowledges) {
+            acknowledged.add(settlement.attempt());
         }
+        if (sentOnce.add(settlement.attempt())) {
+            firstSends.release();
+        } else {
+            maxConcurrentRepeats.accumulateAndGet(concurrentRepeats.incrementAndGet(), Math::max);
+            Thread.onSpinWait();
+            concurrentRepeats.decrementAndGet();
+            repeats.release();
+        }
+        return acknowledges;
     }
 
     private static Settlement settlement(String attempt) {
@@ -57,13 +63,13 @@
         for (int i = 0; i < count; i++) {
             queue.add(settlement("r" + i));
         }
-        failures.acquire(count);
+        firstSends.acquire(count);
     }
 
     @Test
     void repeatsEachSettlementUntilItIsAcknowledged() throws Exception {
         addUnreachable(50);
-        failures.acquire(2);
+        repeats.acquire(2);
         reachable = true;
         assertThat(queue.awaitAcknowledged(WAIT_MS)).isEqualTo(0);
         List<String> all = IntStream.range(0, 50).mapToObj(i -> "r" + i).toList();
@@ -73,16 +79,17 @@
     @Test
     void repeatsOneAtATimeWhileNoneIsAcknowledged() throws Exception {
         addUnreachable(50);
-        failures.acquire(1);
-        maxConcurrentSends.set(0);
-        failures.acquire(4);
-        assertThat(maxConcurrentSends.get()).isEqualTo(1);
+        repeats.acquire(5);
+        assertThat(maxConcurrentRepeats.get()).isEqualTo(1);
     }
 
     @Test
     void dropsTheOldestBeyondItsCapacity() throws Exception {
         addUnreachable(CAPACITY + 5);
         assertThat(queue.outstanding()).isEqualTo(CAPACITY);
+        // Lets a repetition end that began before the last one was added.
+        repeats.drainPermits();
+        repeats.acquire(2);
         reachable = true;
         assertThat(queue.awaitAcknowledged(WAIT_MS)).isEqualTo(0);
         assertThat(acknowledged).doesNotContain("r4");
