[relay] Keep the limits of callers from requests of other entry nodes

Callers of a node that is cut off from all runners got 502 for requests with a head close to the limit: the node adds fields to the request, so the other node, which applied the same limit again, refused it with 431. That refusal has no request id, was skipped as a stray answer, and the request ended as one that may have run.

The idle time-out and the limits on bodies were applied twice as well; with another version of the configuration at the other node a body could be refused that had been accepted, and a short idle time-out closes connections that the first node still reuses.

The server for other entry nodes now has fixed limits of its own above those of any configuration in use; the first node has applied the limits of callers already. Where the limits come from is passed to CallerServer.

Before: "expected to end with: done but was: HTTP/1.1 502 Bad Gateway ... an answer to another request does not end in time (reused connection)".

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -11,14 +11,13 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.skylarkmast.relay.http.CallerConnection;
 import org.skylarkmast.relay.http.HeadTooLargeException;
 import org.skylarkmast.relay.http.HeaderFields;
 import org.skylarkmast.relay.http.InboundRequest;
 import org.skylarkmast.relay.http.MalformedMessageException;
 import org.skylarkmast.relay.route.CallerLimits;
-import org.skylarkmast.relay.route.RoutingConfiguration;
-import org.skylarkmast.relay.route.RoutingState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,16 +28,12 @@
 public final class CallerServer implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(CallerServer.class);
 
-    /** Limits in force until a configuration has been received. */
-    private static final CallerLimits DEFAULT_LIMITS =
-            new CallerLimits(16_384, 1 << 20, 3000, 15_000);
-
     private static final int BACKLOG = 1024;
     private static final int LINGER_MS = 500;
 
     private final ServerSocket listener;
     private final RequestServer requests;
-    private final RoutingState routing;
+    private final Supplier<CallerLimits> limits;
     private final ScheduledExecutorService timers;
     private final Set<OpenConnection> openConnections = ConcurrentHashMap.newKeySet();
     private volatile boolean draining;
@@ -71,15 +66,19 @@
         return listener;
     }
 
-    /** Starts accepting from {@code listener}, which {@link #close} closes. */
+    /**
+     * Starts accepting from {@code listener}, which {@link #close} closes.
+     *
+     * @param limits returns the limits in force
+     */
     public CallerServer(
             ServerSocket listener,
             RequestServer requests,
-            RoutingState routing,
+            Supplier<CallerLimits> limits,
             ScheduledExecutorService timers) {
         this.listener = listener;
         this.requests = requests;
-        this.routing = routing;
+        this.limits = limits;
         this.timers = timers;
         Thread.ofPlatform().name("accept").daemon().start(this::accept);
     }
@@ -132,22 +131,17 @@
         }
     }
 
-    private CallerLimits limits() {
-        RoutingConfiguration configuration = routing.current();
-        return configuration == null ? DEFAULT_LIMITS : configuration.limits();
-    }
-
     private void serve(Socket socket) {
         OpenConnection open = null;
         try (socket) {
             socket.setTcpNoDelay(true);
-            CallerConnection connection = new CallerConnection(socket, limits().maxHeadBytes());
+            CallerConnection connection = new CallerConnection(socket, limits.get().maxHeadBytes());
             open = new OpenConnection(connection);
             openConnections.add(open);
             boolean reusable = true;
             while (reusable) {
                 open.requestInProgress = false;
-                socket.setSoTimeout((int) limits().idleTimeoutMs());
+                socket.setSoTimeout((int) limits.get().idleTimeoutMs());
                 if (!connection.awaitRequest()) {
                     break;
                 }
@@ -174,9 +168,9 @@
 
     private boolean serveRequest(Socket socket, CallerConnection connection)
             throws IOException, InterruptedException {
-        CallerLimits limits = limits();
+        CallerLimits inForce = limits.get();
         ScheduledFuture<?> headTimeout =
-                timers.schedule(connection::close, limits.headTimeoutMs(), TimeUnit.MILLISECONDS);
+                timers.schedule(connection::close, inForce.headTimeoutMs(), TimeUnit.MILLISECONDS);
         InboundRequest request;
         byte[] body;
         try {
@@ -185,7 +179,7 @@
             } finally {
                 headTimeout.cancel(false);
             }
-            body = connection.readBody(request, limits.maxBodyBytes());
+            body = connection.readBody(request, inForce.maxBodyBytes());
         } catch (MalformedMessageException e) {
             return refuse(connection, 400, e.getMessage());
         } catch (HeadTooLargeException e) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -36,6 +36,7 @@
 import org.skylarkmast.relay.mirror.StoreMirror;
 import org.skylarkmast.relay.peer.PeerDirectory;
 import org.skylarkmast.relay.peer.RunnerReachability;
+import org.skylarkmast.relay.route.CallerLimits;
 import org.skylarkmast.relay.route.RoutingState;
 import org.skylarkmast.relay.runner.Runner;
 import org.skylarkmast.relay.runner.RunnerChooser;
@@ -70,6 +71,13 @@
     /** Time for the load balancer to notice that the node is not ready. */
     private static final long READINESS_NOTICE_MS = 2500;
 
+    /**
+     * Limits on requests of other entry nodes, which have applied those of callers and then added
+     * fields. A connection stays open for longer than the other node reuses it.
+     */
+    private static final CallerLimits PEER_LIMITS =
+            new CallerLimits(1 << 20, Integer.MAX_VALUE, 15_000, 15_000);
+
     private final RelaySettings settings;
     private final RoutingState routing = new RoutingState();
     private final RunnerDirectory directory = new RunnerDirectory();
@@ -126,8 +134,9 @@
                         executor,
                         timers,
                         () -> ThreadLocalRandom.current().nextDouble());
-        callerServer = new CallerServer(listener, forwarder::serve, routing, timers);
-        peerServer = new CallerServer(peerListener, forwarder::servePeer, routing, timers);
+        callerServer = new CallerServer(listener, forwarder::serve, routing::callerLimits, timers);
+        peerServer =
+                new CallerServer(peerListener, forwarder::servePeer, () -> PEER_LIMITS, timers);
         LoadReporter reporter =
                 new LoadReporter(
                         settings.node() + "/" + System.nanoTime(),
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/RoutingState.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/RoutingState.java
@@ -9,9 +9,19 @@
 public final class RoutingState {
     private static final Logger LOG = LoggerFactory.getLogger(RoutingState.class);
 
+    /** Limits in force until a configuration has been received. */
+    private static final CallerLimits DEFAULT_LIMITS =
+            new CallerLimits(16_384, 1 << 20, 3000, 15_000);
+
     private final CountDownLatch firstConfiguration = new CountDownLatch(1);
     private volatile RoutingConfiguration current;
 
+    /** Returns the limits on callers' requests that are in force. */
+    public CallerLimits callerLimits() {
+        RoutingConfiguration configuration = current;
+        return configuration == null ? DEFAULT_LIMITS : configuration.limits();
+    }
+
     /** Returns the current configuration, or null before the first. */
     public RoutingConfiguration current() {
         return current;
