[relay] Never refuse a request of another node as not run if it may have

A caller of a node that lost all runners after it had sent a request was told 404 if the other entry node had a newer configuration without the route, and 402 or 404 if the program's budget was spent or its previous turn was not found there meanwhile. These statuses promise that nothing ran, but a runner may have run the request before it was passed on. Only 503 was replaced by 502 so far.

A refusal now drops its promise itself, by the same list of statuses that its contract names, for all refusals of requests that may have run.

Before: "expected any of: [502, 504] but was: 404".

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -163,7 +163,9 @@
                     .refuse(
                             caller,
                             call.requestId(),
-                            Refusal.of(404, "no route"),
+                            Refusal.of(404, "no route")
+                                    .ifMayHaveRun(
+                                            fromPeer && PeerRelay.mayHaveRun(request.fields())),
                             closeAfterAnswer,
                             entry);
         }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Refusal.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Refusal.java
@@ -1,5 +1,7 @@
 package org.skylarkmast.relay.forward;
 
+import java.util.Set;
+
 /**
  * An error answer that the entry node generates itself.
  *
@@ -12,8 +14,10 @@
     /** Value of {@code retryAfterMs} if a retry is of no use. */
     static final long NEVER = -1;
 
-    /** Status of a request that was not run and will not be. */
-    static final int NOT_RUN = 503;
+    private static final int NOT_RUN = 503;
+
+    /** Statuses that guarantee that the request was not run and will not be. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(402, 404, 429, NOT_RUN);
 
     static Refusal notRun(long retryAfterMs, String reason) {
         return new Refusal(NOT_RUN, retryAfterMs, reason);
@@ -27,6 +31,11 @@
         return new Refusal(504, NEVER, reason);
     }
 
+    /** Returns this refusal, without the guarantee if a runner may have run the request. */
+    Refusal ifMayHaveRun(boolean mayHaveRun) {
+        return mayHaveRun && NOT_RUN_STATUSES.contains(status) ? mayHaveRun(reason) : this;
+    }
+
     static Refusal of(int status, String reason) {
         return new Refusal(status, NEVER, reason);
     }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -131,14 +131,11 @@
     }
 
     private boolean refuse(Refusal refusal, RequestLog.Entry entry) {
-        boolean claimsNotRun = refusal.status() == Refusal.NOT_RUN;
         return context.refusals()
                 .refuse(
                         caller,
                         call.requestId(),
-                        claimsNotRun && mayHaveRunBefore
-                                ? Refusal.mayHaveRun(refusal.reason())
-                                : refusal,
+                        refusal.ifMayHaveRun(mayHaveRunBefore),
                         closeAfterAnswer,
                         entry);
     }
