[relay] Leave requests to entry nodes with no older configuration

A caller of a node that is cut off from all runners was told 404 "no route" for a route of a configuration that its node had in force, as the other entry node that served the request had an older one.

A request now carries the version of the configuration by which it was accepted. A node whose version is lower answers 421, not run, and the next node is tried; if there is none, the caller gets 503 with Retry-After. A newer version is in order, as versions only rise. A node without a configuration answers 421 as well, so that the next one is tried.

Nodes of the releases before ignore the new field and hand it on to the runner as one of the caller's; nodes of this release serve requests without it as before.

Before: "expected not to contain any of: [404, 502] ... full contents: [404, 404, 404, 404, 404, 404, 404, 404, 404, 404]".

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -141,15 +141,12 @@
                     .refuse(caller, "", Refusal.of(400, e.getMessage()), closeAfterAnswer, entry);
         }
         entry.fromPeer = fromPeer;
-        if (fromPeer && context.peerRelay().isNeeded()) {
-            Refusal misdirected = Refusal.of(MISDIRECTED_REQUEST, "this node reaches no runner");
-            return context.refusals()
-                    .refuse(caller, call.requestId(), misdirected, closeAfterAnswer, entry);
-        }
         RoutingConfiguration configuration = routing.await(startupWaitMs(call));
-        if (configuration == null) {
-            Refusal refusal =
-                    Refusal.notRun(OTHER_NODE_RETRY_AFTER_MS, "no configuration known yet");
+        Refusal refusal =
+                fromPeer
+                        ? peerRefusal(request, configuration)
+                        : configurationRefusal(configuration);
+        if (refusal != null) {
             return context.refusals()
                     .refuse(caller, call.requestId(), refusal, closeAfterAnswer, entry);
         }
@@ -187,6 +184,24 @@
                 entry);
     }
 
+    /** Returns why a request of another entry node is left to a third one, or null. */
+    private Refusal peerRefusal(InboundRequest request, RoutingConfiguration configuration) {
+        if (context.peerRelay().isNeeded()) {
+            return Refusal.of(MISDIRECTED_REQUEST, "this node reaches no runner");
+        }
+        boolean isOlder =
+                configuration == null
+                        || configuration.version()
+                                < PeerRelay.minConfigurationVersion(request.fields());
+        return isOlder ? Refusal.of(MISDIRECTED_REQUEST, "configuration is older") : null;
+    }
+
+    private static Refusal configurationRefusal(RoutingConfiguration configuration) {
+        return configuration == null
+                ? Refusal.notRun(OTHER_NODE_RETRY_AFTER_MS, "no configuration known yet")
+                : null;
+    }
+
     private boolean serveMatched(
             CallerConnection caller,
             InboundRequest request,
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/PeerRelay.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/PeerRelay.java
@@ -16,7 +16,7 @@
  * Passes callers' requests on to other entry nodes while this node reaches no runner; thread-safe.
  *
  * <p>The other node serves the request as its own. It rejects it as misdirected if it reaches no
- * runner either; a request is never passed on twice.
+ * runner either or has an older configuration; a request is never passed on twice.
  */
 public final class PeerRelay {
     private static final Logger LOG = LoggerFactory.getLogger(PeerRelay.class);
@@ -27,8 +27,14 @@
     /** Present if a runner may have run the request already. */
     private static final String MAY_HAVE_RUN = "Skylarkmast-May-Have-Run";
 
+    /** Version of the configuration by which the request was accepted. */
+    private static final String CONFIGURATION = "Skylarkmast-Configuration";
+
     private static final Set<String> PEER_FIELDS =
-            Set.of(MAX_ATTEMPTS.toLowerCase(Locale.ROOT), MAY_HAVE_RUN.toLowerCase(Locale.ROOT));
+            Set.of(
+                    MAX_ATTEMPTS.toLowerCase(Locale.ROOT),
+                    MAY_HAVE_RUN.toLowerCase(Locale.ROOT),
+                    CONFIGURATION.toLowerCase(Locale.ROOT));
 
     /** Maximum number of nodes that are tried for a request. */
     private static final int MAX_PEERS = 3;
@@ -64,22 +70,27 @@
     }
 
     /**
-     * Sends a request to another entry node.
+     * What the other node must know of a request beside the caller's fields.
      *
-     * @param request with the fields of the caller
      * @param maxAttempts number of runners to which that node may send it, at least 1
      * @param mayHaveRun whether a runner may have run it already
+     * @param configurationVersion version of the configuration by which it was accepted
+     */
+    record Terms(int maxAttempts, boolean mayHaveRun, long configurationVersion) {}
+
+    /**
+     * Sends a request to another entry node.
+     *
+     * @param request with the fields of the caller
      */
-    Relayed relay(
-            OutboundRequest request,
-            int maxAttempts,
-            boolean mayHaveRun,
-            Exchange exchange,
-            AnswerWriter writer)
+    Relayed relay(OutboundRequest request, Terms terms, Exchange exchange, AnswerWriter writer)
             throws InterruptedException {
-        HeaderFields fields = request.fields().with(MAX_ATTEMPTS, Integer.toString(maxAttempts));
+        HeaderFields fields =
+                request.fields()
+                        .with(MAX_ATTEMPTS, Integer.toString(terms.maxAttempts()))
+                        .with(CONFIGURATION, Long.toString(terms.configurationVersion()));
         OutboundRequest forPeer =
-                request.withFields(mayHaveRun ? fields.with(MAY_HAVE_RUN, "1") : fields);
+                request.withFields(terms.mayHaveRun() ? fields.with(MAY_HAVE_RUN, "1") : fields);
         SendResult result = new SendResult.NotRun(false, "no other entry node is known");
         String lastPeer = "";
         List<PeerNode> candidates = peers.shuffled();
@@ -109,15 +120,33 @@
                     ? routeLimit
                     : Math.clamp(Integer.parseInt(value.strip()), 1, routeLimit);
         } catch (NumberFormatException e) {
-            LOG.atWarn()
-                    .addKeyValue("event", "peer_field_unreadable")
-                    .addKeyValue("field", MAX_ATTEMPTS)
-                    .addKeyValue("value", value)
-                    .log();
+            logUnreadable(MAX_ATTEMPTS, value);
             return 1;
         }
     }
 
+    /**
+     * Returns the lowest version of the configuration by which a request of another node may be
+     * served; nodes of an earlier release state none.
+     */
+    static long minConfigurationVersion(HeaderFields peerFields) {
+        String value = peerFields.first(CONFIGURATION);
+        try {
+            return value == null ? 0 : Long.parseLong(value.strip());
+        } catch (NumberFormatException e) {
+            logUnreadable(CONFIGURATION, value);
+            return Long.MAX_VALUE;
+        }
+    }
+
+    private static void logUnreadable(String field, String value) {
+        LOG.atWarn()
+                .addKeyValue("event", "peer_field_unreadable")
+                .addKeyValue("field", field)
+                .addKeyValue("value", value)
+                .log();
+    }
+
     /** Whether a runner may have run a request before another node passed it on. */
     static boolean mayHaveRun(HeaderFields peerFields) {
         return peerFields.first(MAY_HAVE_RUN) != null;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -242,8 +242,8 @@
                 context.peerRelay()
                         .relay(
                                 outboundRequest(input, _ -> true),
-                                maxAttempts,
-                                mayHaveRun,
+                                new PeerRelay.Terms(
+                                        maxAttempts, mayHaveRun, configuration.version()),
                                 exchange,
                                 writer);
         entry.peer = relayed.peer();
