--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -147,17 +147,14 @@
                     .refuse(caller, "", Refusal.of(400, e.getMessage()), closeAfterAnswer, entry);
         }
         entry.fromPeer = fromPeer;
-        if (fromPeer && context.peerRelay().isNeeded()) {
-            Refusal misdirected = Refusal.of(MISDIRECTED_REQUEST, "this node reaches no runner");
-            return context.refusals()
-                    .refuse(caller, call.requestId(), misdirected, closeAfterAnswer, entry);
-        }
         long startupWaitMs = startupWaitMs(call);
         RoutingConfiguration configuration =
                 routing.await(admitsLimitMs.test(startupWaitMs) ? startupWaitMs : 0);
-        if (configuration == null) {
-            Refusal refusal =
-                    Refusal.notRun(OTHER_NODE_RETRY_AFTER_MS, "no configuration known yet");
+        Refusal refusal =
+                fromPeer
+                        ? peerRefusal(request, configuration)
+                        : configurationRefusal(configuration);
+        if (refusal != null) {
             return context.refusals()
                     .refuse(caller, call.requestId(), refusal, closeAfterAnswer, entry);
         }
@@ -171,7 +168,9 @@
                     .refuse(
                             caller,
                             call.requestId(),
-                            Refusal.of(404, "no route"),
+                            Refusal.of(404, "no route")
+                                    .ifMayHaveRun(
+                                            fromPeer && PeerRelay.mayHaveRun(request.fields())),
                             closeAfterAnswer,
                             entry);
         }
@@ -193,6 +192,24 @@
                 entry);
     }
 
+    /** Returns why a request of another entry node is left to a third one, or null. */
+    private Refusal peerRefusal(InboundRequest request, RoutingConfiguration configuration) {
+        if (context.peerRelay().isNeeded()) {
+            return Refusal.of(MISDIRECTED_REQUEST, "this node reaches no runner");
+        }
+        boolean isOlder =
+                configuration == null
+                        || configuration.version()
+                                < PeerRelay.minConfigurationVersion(request.fields());
+        return isOlder ? Refusal.of(MISDIRECTED_REQUEST, "configuration is older") : null;
+    }
+
+    private static Refusal configurationRefusal(RoutingConfiguration configuration) {
+        return configuration == null
+                ? Refusal.notRun(OTHER_NODE_RETRY_AFTER_MS, "no configuration known yet")
+                : null;
+    }
+
     private boolean serveMatched(
             CallerConnection caller,
             InboundRequest request,
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/node/CallerServerTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/node/CallerServerTest.java
@@ -162,7 +162,8 @@
     }
 
     private CallerServer server(ServerSocket listener, RequestServer requests) {
-        CallerServer server = new CallerServer(listener, requests, new RoutingState(), timers);
+        CallerServer server =
+                new CallerServer(listener, requests, new RoutingState()::callerLimits, timers);
         server.start();
         return server;
     }
