[relay] Answer requests that outlast a shutdown instead of cutting them

What callers saw: a request whose time limit is longer than the shutdown of its entry node, and that the node had read before or early in the shutdown, ended without an answer as the process ended. It might not even have been passed on to a runner, for example while all runners rejected it as full.

Cause: at five sixths of the grace period the process ended without a word to what was in progress.

Change: at that time the node ends the requests in progress as if their deadlines had passed. Those whose answer has not begun get 504, or 503 with Retry-After if no runner has run them; a stream that has begun is broken off with a reset as before. The process waits for these answers for 0.1 s at most, well before the end of the grace period.

Ruled out: with time limits of 4 s and a grace period of 8 s nothing that is read in the first 2.5 s lasts so long, and later requests are rejected.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -1,5 +1,7 @@
 package org.skylarkmast.relay.forward;
 
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -50,6 +52,7 @@
     private final LongPredicate admitsLimitMs;
     private final ScheduledExecutorService timers;
     private final DoubleSupplier random;
+    private final Set<Exchange> activeExchanges = ConcurrentHashMap.newKeySet();
 
     /**
      * @param admitsLimitMs whether a request that may last this many ms can be served before the
@@ -220,6 +223,7 @@
         Exchange exchange =
                 new Exchange(
                         caller, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(remainingMs));
+        activeExchanges.add(exchange);
         caller.detectDisconnect(exchange::callerDisconnected);
         ScheduledFuture<?> expiration =
                 timers.schedule(() -> exchange.expire(false), remainingMs, TimeUnit.MILLISECONDS);
@@ -245,6 +249,7 @@
             return handler.serve(entry);
         } finally {
             exchange.end();
+            activeExchanges.remove(exchange);
             expiration.cancel(false);
             callerAbort.cancel(false);
         }
@@ -258,6 +263,14 @@
                 : Refusal.notRun(OTHER_NODE_RETRY_AFTER_MS, reason);
     }
 
+    /**
+     * Ends the requests in progress as if their deadlines had passed: those whose answer has not
+     * begun are answered as not run or timed out, the others are broken off.
+     */
+    public void expireAll() {
+        activeExchanges.forEach(exchange -> exchange.expire(false));
+    }
+
     /** Returns how long a request may wait for the data that a node receives after its start. */
     static long startupWaitMs(CallMetadata call) {
         boolean unset = call.deadlineMs() == CallMetadata.UNSET;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/DrainTimeline.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/DrainTimeline.java
@@ -21,6 +21,9 @@
     /** Time to write the answer of a request that reaches its time limit. */
     private static final long ANSWER_MS = 50;
 
+    /** Time to answer the requests that are still in progress when the node stops serving. */
+    private static final long LAST_ANSWERS_MS = 100;
+
     private static final long NOT_STARTED = Long.MIN_VALUE;
 
     private final long durationMs;
@@ -59,9 +62,14 @@
         return !hasStarted() || elapsedMs() < Math.min(READINESS_NOTICE_MS, durationMs);
     }
 
+    /** Whether the node waits for requests in progress. */
+    boolean isServing() {
+        return !hasStarted() || elapsedMs() < durationMs;
+    }
+
     /** Whether the process ends even if requests are in progress. */
     boolean hasEnded() {
-        return hasStarted() && elapsedMs() >= durationMs;
+        return hasStarted() && elapsedMs() >= durationMs + LAST_ANSWERS_MS;
     }
 
     /**
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import org.skylarkmast.core.store.KeyValueStore;
 import org.skylarkmast.http.HttpClient;
 import org.skylarkmast.http.HttpReply;
@@ -81,6 +82,7 @@
     private final RequestLog requestLog = new RequestLog(registry);
     private final AtomicInteger entryNodeCount = new AtomicInteger();
     private final DrainTimeline drainTimeline;
+    private final Forwarder forwarder;
 
     /**
      * Starts the node; it accepts connections once {@link #startAccepting} is called.
@@ -107,7 +109,7 @@
         RunnerPool pool = createPool(admission);
         RunnerContact contact = new RunnerContact(System::nanoTime, registry);
         reachability = createReachability(contact, () -> executor.execute(reportNow.get()));
-        Forwarder forwarder =
+        forwarder =
                 new Forwarder(
                         routing,
                         pool,
@@ -341,7 +343,8 @@
      * waits for the requests in progress, at most for the grace period less its unused fraction. A
      * request that arrives on an open connection meanwhile is rejected as not run if its time limit
      * is longer than the rest of that time; a connection whose answer began before the shutdown
-     * closes after it.
+     * closes after it. Requests that outlast that time are answered as if their deadlines had
+     * passed.
      */
     public void drain() {
         LOG.atInfo().addKeyValue("event", "drain_started").log();
@@ -357,11 +360,9 @@
                     .addKeyValue("event", "drain_closing")
                     .addKeyValue("openConnections", openConnections())
                     .log();
-            while (openConnections() > 0 && !drainTimeline.hasEnded()) {
-                callerServer.closeIdle();
-                peerServer.closeIdle();
-                Thread.sleep(DRAIN_POLL_MS);
-            }
+            awaitClosedConnections(drainTimeline::isServing);
+            forwarder.expireAll();
+            awaitClosedConnections(() -> !drainTimeline.hasEnded());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -373,6 +374,14 @@
                 .log();
     }
 
+    private void awaitClosedConnections(BooleanSupplier hasTime) throws InterruptedException {
+        while (openConnections() > 0 && hasTime.getAsBoolean()) {
+            callerServer.closeIdle();
+            peerServer.closeIdle();
+            Thread.sleep(DRAIN_POLL_MS);
+        }
+    }
+
     private int openConnections() {
         return callerServer.connectionCount() + peerServer.connectionCount();
     }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/node/DrainTimelineTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/node/DrainTimelineTest.java
@@ -24,6 +24,7 @@
         advance(60_000);
         assertThat(timeline.hasStarted()).isFalse();
         assertThat(timeline.isAccepting()).isTrue();
+        assertThat(timeline.isServing()).isTrue();
         assertThat(timeline.hasEnded()).isFalse();
         assertThat(timeline.admits(Long.MAX_VALUE / 2)).isTrue();
     }
@@ -40,20 +41,24 @@
 
     @ParameterizedTest(name = "grace {0} ms, after {1} ms")
     @CsvSource({
-        "8000, 0, true, false",
-        "8000, 2499, true, false",
-        "8000, 2500, false, false",
-        "8000, 6665, false, false",
-        "8000, 6666, false, true",
-        "1200, 999, true, false",
-        "1200, 1000, false, true",
+        "8000, 0, true, true, false",
+        "8000, 2499, true, true, false",
+        "8000, 2500, false, true, false",
+        "8000, 6665, false, true, false",
+        "8000, 6666, false, false, false",
+        "8000, 6765, false, false, false",
+        "8000, 6766, false, false, true",
+        "1200, 999, true, true, false",
+        "1200, 1000, false, false, false",
+        "1200, 1100, false, false, true",
     })
     void acceptsUntilLoadBalancerHasNoticed(
-            long graceMs, long elapsedMs, boolean accepting, boolean ended) {
+            long graceMs, long elapsedMs, boolean accepting, boolean serving, boolean ended) {
         DrainTimeline timeline = timeline(graceMs);
         timeline.start();
         advance(elapsedMs);
         assertThat(timeline.isAccepting()).isEqualTo(accepting);
+        assertThat(timeline.isServing()).isEqualTo(serving);
         assertThat(timeline.hasEnded()).isEqualTo(ended);
     }
 
