[relay] Give back requests of another node when cut off as well

A caller of a node that is cut off from all runners waited until its deadline and got 504, although no runner had its request: it had been passed on to a node that was cut off as well and had not noticed yet.

Such a node now ends the request as soon as it knows: with 421, so that the first node tries another one; with 502 if a runner may have run it; with 503 if it has reserved tokens. It settles those at once, and the first settlement of an attempt counts, so a third node must not spend on it.

Before: "unexpected (1): 504, expected: [503], but was: [503, 504]", the request with "tookMs=2000 reason=no answer in time", at the other node "not connected: Connection refused".

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -41,8 +41,6 @@
      */
     static final long OTHER_NODE_RETRY_AFTER_MS = 100;
 
-    private static final int MISDIRECTED_REQUEST = 421;
-
     private final RoutingState routing;
     private final ForwardingContext context;
     private final WireDialect dialect;
@@ -187,13 +185,13 @@
     /** Returns why a request of another entry node is left to a third one, or null. */
     private Refusal peerRefusal(InboundRequest request, RoutingConfiguration configuration) {
         if (context.peerRelay().isNeeded()) {
-            return Refusal.of(MISDIRECTED_REQUEST, "this node reaches no runner");
+            return Refusal.misdirected("this node reaches no runner");
         }
         boolean isOlder =
                 configuration == null
                         || configuration.version()
                                 < PeerRelay.minConfigurationVersion(request.fields());
-        return isOlder ? Refusal.of(MISDIRECTED_REQUEST, "configuration is older") : null;
+        return isOlder ? Refusal.misdirected("configuration is older") : null;
     }
 
     private static Refusal configurationRefusal(RoutingConfiguration configuration) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Refusal.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Refusal.java
@@ -31,6 +31,11 @@
         return new Refusal(504, NEVER, reason);
     }
 
+    /** Refuses a request of another entry node, which may leave it to a third one. */
+    static Refusal misdirected(String reason) {
+        return new Refusal(421, NEVER, reason);
+    }
+
     /** Returns this refusal, without the guarantee if a runner may have run the request. */
     Refusal ifMayHaveRun(boolean mayHaveRun) {
         return mayHaveRun && NOT_RUN_STATUSES.contains(status) ? mayHaveRun(reason) : this;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -224,11 +224,11 @@
     }
 
     private boolean mayLeaveToPeer() {
-        return !fromPeer && context.peerRelay().isNeeded();
+        return context.peerRelay().isNeeded();
     }
 
     /**
-     * Lets another entry node serve the request.
+     * Lets another entry node serve the request, or the node from which it came decide on it.
      *
      * @param mayHaveRun whether a runner may have run the request already
      * @param reserved whether this node has reserved tokens; the other one counts the same
@@ -237,6 +237,9 @@
     private boolean leaveToPeer(
             int maxAttempts, boolean mayHaveRun, boolean reserved, RequestLog.Entry entry)
             throws InterruptedException {
+        if (fromPeer) {
+            return returnToPeer(mayHaveRun, reserved, entry);
+        }
         writer = answerWriter(false);
         PeerRelay.Relayed relayed =
                 context.peerRelay()
@@ -270,6 +273,24 @@
         return finish(new RetryOutcome(relayed.result(), refusal), writer, entry);
     }
 
+    /**
+     * Rejects a request of another entry node, as this node reaches no runner either.
+     *
+     * @param reserved whether this node has reserved tokens; no third node may serve the request
+     *     then, since what it spends would not count after this node's settlement
+     */
+    private boolean returnToPeer(boolean mayHaveRun, boolean reserved, RequestLog.Entry entry) {
+        if (reserved) {
+            settle(0);
+        }
+        String reason = "this node reaches no runner";
+        Refusal rejection =
+                reserved
+                        ? Refusal.notRun(Forwarder.OTHER_NODE_RETRY_AFTER_MS, reason)
+                        : Refusal.misdirected(reason);
+        return refuse(mayHaveRun ? Refusal.mayHaveRun(reason) : rejection, entry);
+    }
+
     private boolean finish(RetryOutcome outcome, AnswerWriter writer, RequestLog.Entry entry) {
         if (outcome.refusal() != null && !writer.hasBegun()) {
             return refuse(outcome.refusal(), entry);
