[relay] Read long chains of turns in parts

A turn whose chain is larger than a response of a storage node may be (16 MiB), or takes longer to send than the 400 ms of a call, was answered 503 "history not readable" each time: every storage node failed in the same way and the entry node started over without progress.

A storage node now ends a chain's response after 1 MiB of texts, as it does for FETCH. Entry nodes, those of the previous release too, go on with the predecessor of the last turn that they got.

Before: readsChainsThatAreTooLongForOneResponse (20 turns of 900 kB) expected Found but was Uncertain.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordIndex.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordIndex.java
@@ -229,17 +229,20 @@
     /**
      * Returns the turn {@code id} and its predecessors, as far as they are stored here.
      *
+     * @param maxBytes size of texts at which the chain is cut; the first turn is always returned
      * @throws IOException if the log cannot be read
      */
-    public Chain chain(String id) throws IOException {
+    public Chain chain(String id, int maxBytes) throws IOException {
         List<TurnRecord> chain = new ArrayList<>();
+        int bytes = 0;
         String nextId = id;
         while (!nextId.isEmpty()) {
-            TurnRecord turn = turn(nextId);
+            TurnRecord turn = bytes < maxBytes ? turn(nextId) : null;
             if (turn == null) {
                 return new Chain(chain, false);
             }
             chain.add(turn);
+            bytes += turn.input().length + turn.output().length;
             nextId = turn.previous();
         }
         return new Chain(chain, true);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/StorageNodeHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/StorageNodeHandler.java
@@ -44,8 +44,8 @@
     /** Longest wait for a write to reach the disk; entry nodes time out earlier. */
     private static final long DISK_WRITE_TIMEOUT_MS = 2000;
 
-    /** Size of turn texts at which one fetch stops adding turns, so that a call stays short. */
-    private static final int MAX_FETCH_BYTES = 1 << 20;
+    /** Size of texts at which a response stops adding turns, so that a call stays short. */
+    private static final int MAX_TEXT_BYTES = 1 << 20;
 
     private final RecordIndex index;
     private final QuorumMembership membership;
@@ -136,7 +136,7 @@
                 yield reply(out -> out.writeBoolean(true));
             }
             case CHAIN -> {
-                RecordIndex.Chain chain = index.chain(in.readUTF());
+                RecordIndex.Chain chain = index.chain(in.readUTF(), MAX_TEXT_BYTES);
                 yield reply(out -> writeChain(out, chain));
             }
             case SUMMARY -> reply(this::writeSummary);
@@ -221,7 +221,7 @@
         int count = in.readInt();
         List<TurnRecord> turns = new ArrayList<>();
         int bytes = 0;
-        for (int i = 0; i < count && bytes < MAX_FETCH_BYTES; i++) {
+        for (int i = 0; i < count && bytes < MAX_TEXT_BYTES; i++) {
             TurnRecord turn = index.turn(in.readUTF());
             if (turn != null) {
                 turns.add(turn);
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/RecordIndexTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/RecordIndexTest.java
@@ -50,7 +50,9 @@
                 index.putTurn(turn(id, number == 1 ? "" : "t" + (number - 1))).get();
             }
             expireAt(index, 185_000);
-            assertThat(ids(index.chain("t3"))).containsExactly("t3", "t2", "t1").inOrder();
+            assertThat(ids(index.chain("t3", Integer.MAX_VALUE)))
+                    .containsExactly("t3", "t2", "t1")
+                    .inOrder();
             expireAt(index, 190_001);
             assertThat(index.turnCount()).isEqualTo(0);
         }
@@ -68,7 +70,9 @@
         for (int restart = 0; restart < 2; restart++) {
             try (RecordIndex index = open()) {
                 expireAt(index, 160_000);
-                assertThat(ids(index.chain("t2"))).containsExactly("t2", "t1").inOrder();
+                assertThat(ids(index.chain("t2", Integer.MAX_VALUE)))
+                        .containsExactly("t2", "t1")
+                        .inOrder();
             }
         }
     }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeClusterTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeClusterTest.java
@@ -4,6 +4,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -68,6 +69,25 @@
         }
     }
 
+    @Test
+    void readsChainsThatAreTooLongForOneResponse() throws Exception {
+        try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
+            LedgerClient client = cluster.client();
+            List<String> ids = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                String previous = i == 0 ? "" : ids.getLast();
+                ids.add("t" + i);
+                byte[] text = new byte[900_000];
+                TurnRecord turn =
+                        new TurnRecord("t" + i, previous, text, new byte[0], RETENTION_MS);
+                assertThat(client.append("", turn, 0, TIMEOUT_MS)).isTrue();
+            }
+            assertThat(ids(client.chain("t19", TIMEOUT_MS)))
+                    .containsExactlyElementsIn(ids)
+                    .inOrder();
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"a", "b", "c"})
     void ledgerWorksWithOneStorageNodeDown(String stopped) throws Exception {
