--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -274,7 +274,7 @@
     private static Refusal shuttingDown(boolean fromPeer) {
         String reason = "this node is shutting down";
         return fromPeer
-                ? Refusal.of(MISDIRECTED_REQUEST, reason)
+                ? Refusal.misdirected(reason)
                 : Refusal.notRun(OTHER_NODE_RETRY_AFTER_MS, reason);
     }
 
