[relay] Keep requests that end runners away from them

Cause: nothing related a request to the one before it. Each came under a new id, and an idempotent one ended up to four runners in one attempt, since runners that ended do not count against its limit.

Change: a request is named by a digest of its method, host, path and body as the caller sent it; program, session, previous turn, address and entry node differ each time. When an exchange breaks before the first event, the node opens one connection to that runner: its host refuses it if the runner has ended, and a cut, a reset or a caller that left does not. The requests that were there without an event are suspects, and load reports tell all nodes, at once after a crash and each 250 ms for 10 s after it; storage nodes exchange them each 500 ms. A blamed request is rejected before it reserves anything and before each send: 503 with the time until it may be tried again, or 502 if this attempt may have run. One attempt ends two runners at most. The digest is computed only while there is a suspect.

Load report tests have the new component, no check has changed.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Forwarder.java
@@ -15,6 +15,7 @@
 import org.skylarkmast.relay.http.RunnerConnectionPool;
 import org.skylarkmast.relay.ledger.TurnLedger;
 import org.skylarkmast.relay.limit.SendAdmission;
+import org.skylarkmast.relay.quarantine.Quarantine;
 import org.skylarkmast.relay.route.Route;
 import org.skylarkmast.relay.route.RoutingConfiguration;
 import org.skylarkmast.relay.route.RoutingState;
@@ -53,6 +54,7 @@
     private final Set<Exchange> activeExchanges = ConcurrentHashMap.newKeySet();
 
     /**
+     * @param reportCrash reports a runner's crash to the other nodes; must not block
      * @param admitsLimitMs whether a request that may last this many ms can be served before the
      *     node ends
      * @param executor runs ledger reads concurrently with a reservation
@@ -64,6 +66,9 @@
             RunnerConnectionPool connections,
             SendAdmission admission,
             RunnerContact contact,
+            Quarantine quarantine,
+            RunnerCrashDetector crashDetector,
+            Runnable reportCrash,
             PeerRelay peerRelay,
             WireDialect dialect,
             TurnLedger ledger,
@@ -78,6 +83,9 @@
                         pool,
                         admission,
                         contact,
+                        quarantine,
+                        crashDetector,
+                        reportCrash,
                         new RequestSender(connections, dialect::toRunnerFields, dialect, timers),
                         peerRelay,
                         dialect,
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/ForwardingContext.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/ForwardingContext.java
@@ -4,12 +4,14 @@
 import java.util.function.Function;
 import org.skylarkmast.relay.ledger.TurnLedger;
 import org.skylarkmast.relay.limit.SendAdmission;
+import org.skylarkmast.relay.quarantine.Quarantine;
 import org.skylarkmast.relay.runner.Runner;
 import org.skylarkmast.relay.runner.RunnerPool;
 
 /**
  * What all requests of a node share.
  *
+ * @param reportCrash reports a runner's crash to the other nodes
  * @param sender sends to runners
  * @param executor runs ledger reads concurrently with a reservation
  */
@@ -17,6 +19,9 @@
         RunnerPool pool,
         SendAdmission admission,
         RunnerContact contact,
+        Quarantine quarantine,
+        RunnerCrashDetector crashDetector,
+        Runnable reportCrash,
         RequestSender sender,
         PeerRelay peerRelay,
         WireDialect dialect,
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -1,6 +1,7 @@
 package org.skylarkmast.relay.forward;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.function.BooleanSupplier;
@@ -9,6 +10,7 @@
 import org.skylarkmast.relay.http.InboundRequest;
 import org.skylarkmast.relay.ledger.ChainOutcome;
 import org.skylarkmast.relay.ledger.TurnRecord;
+import org.skylarkmast.relay.quarantine.RequestFingerprint;
 import org.skylarkmast.relay.route.Route;
 import org.skylarkmast.relay.route.RouteKind;
 import org.skylarkmast.relay.route.RoutingConfiguration;
@@ -26,6 +28,7 @@
     private final Exchange exchange;
     private final RoutingConfiguration configuration;
     private final boolean fromPeer;
+    private final CrashGuard crashGuard;
 
     /** Whether a runner may have run the request before another entry node passed it on. */
     private final boolean mayHaveRunBefore;
@@ -64,6 +67,17 @@
         this.fromPeer = fromPeer;
         this.mayHaveRunBefore = fromPeer && PeerRelay.mayHaveRun(request.fields());
         this.service = route.selectService(sample);
+        this.crashGuard =
+                new CrashGuard(
+                        context.quarantine(),
+                        context.crashDetector(),
+                        context.reportCrash(),
+                        () ->
+                                RequestFingerprint.of(
+                                        request.method(),
+                                        request.fields().first("Host"),
+                                        request.target(),
+                                        input));
     }
 
     private boolean hasEvents() {
@@ -76,6 +90,15 @@
         if (mayLeaveToPeer()) {
             return leaveToPeer(route.maxAttempts(), false, false, entry);
         }
+        Optional<Refusal> quarantined = crashGuard.refusal();
+        if (quarantined.isPresent()) {
+            entry.fingerprint = crashGuard.fingerprintText();
+            return refuse(quarantined.get(), entry);
+        }
+        return admitAndSend(entry);
+    }
+
+    private boolean admitAndSend(RequestLog.Entry entry) throws InterruptedException {
         RequestAdmission admission =
                 new RequestAdmission(
                         context.pool(),
@@ -175,6 +198,7 @@
                         writer,
                         binding,
                         !call.previousTurn().isEmpty(),
+                        crashGuard,
                         this::mayLeaveToPeer);
         RetryOutcome outcome = loop.run();
         entry.runner = loop.lastRunner();
@@ -182,6 +206,7 @@
         entry.runnerLimit = loop.lastRunnerLimit();
         entry.limitDelayMs = loop.limitDelayMs();
         entry.sends = loop.sends();
+        entry.fingerprint = crashGuard.fingerprintText();
         context.requestLog().countSendsToLimitedRunners(loop.sendsToLimitedRunners());
         entry.tokens = writer.tokensWritten();
         entry.framing = writer.runnerFraming();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestLog.java
@@ -40,6 +40,7 @@
         long limitDelayMs;
         String resumedRequestId = "";
         String reservation = "";
+        String fingerprint = "";
         String framing = "";
         String reason = "";
         long version;
@@ -141,6 +142,7 @@
                 .addKeyValue("resumes", entry.resumedRequestId)
                 .addKeyValue("sends", entry.sends)
                 .addKeyValue("reservation", entry.reservation)
+                .addKeyValue("fingerprint", entry.fingerprint)
                 .addKeyValue("chain", entry.chainLength)
                 .addKeyValue("tokens", entry.tokens)
                 .addKeyValue("framing", entry.framing)
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
@@ -1,6 +1,7 @@
 package org.skylarkmast.relay.forward;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -79,6 +80,7 @@
     private final AnswerWriter writer;
     private final OriginBinding binding;
     private final boolean continuesProgram;
+    private final CrashGuard crashGuard;
     private final BooleanSupplier mayLeaveToPeer;
     private final RateLimitWait rateLimitWait;
 
@@ -97,6 +99,7 @@
     /**
      * @param observers returns the observer of a send to a runner
      * @param continuesProgram whether the request belongs to a program that has got answers before
+     * @param crashGuard tells whether the request may be sent to further runners
      * @param mayLeaveToPeer whether this node reaches no runner and another may serve the request
      */
     RetryLoop(
@@ -111,6 +114,7 @@
             AnswerWriter writer,
             OriginBinding binding,
             boolean continuesProgram,
+            CrashGuard crashGuard,
             BooleanSupplier mayLeaveToPeer) {
         this.pool = pool;
         this.limits = admission.limits();
@@ -123,6 +127,7 @@
         this.writer = writer;
         this.binding = binding;
         this.continuesProgram = continuesProgram;
+        this.crashGuard = crashGuard;
         this.mayLeaveToPeer = mayLeaveToPeer;
         this.attemptedRunners = new AttemptedRunners(route.maxAttempts());
         this.rateLimitWait =
@@ -178,6 +183,10 @@
                     && attemptedRunners.remaining() > 0) {
                 return new RetryOutcome(last, null, true);
             }
+            Optional<Refusal> refusal = crashGuard.refusal();
+            if (refusal.isPresent()) {
+                return cannotContinue(last, refusal.get().retryAfterMs(), refusal.get().reason());
+            }
             Runner runner = chooseRunner();
             if (runner == null) {
                 RetryOutcome outcome = withoutRunner(last);
@@ -197,13 +206,7 @@
             lastRunnerVersion = runner.softwareVersion();
             lastRunnerLimit = limits.of(runner);
             sendsToLimitedRunners += lastRunnerLimit.isPresent() ? 1 : 0;
-            last =
-                    sender.send(
-                            outboundRequest(runner),
-                            Destination.of(runner),
-                            observers.apply(runner),
-                            exchange,
-                            writer);
+            last = send(runner);
             RetryOutcome outcome = evaluate(last, runner);
             if (outcome != null) {
                 return outcome;
@@ -211,6 +214,26 @@
         }
     }
 
+    private SendResult send(Runner runner) throws InterruptedException {
+        long sentNs = System.nanoTime();
+        SendResult result =
+                sender.send(
+                        outboundRequest(runner),
+                        Destination.of(runner),
+                        observers.apply(runner),
+                        exchange,
+                        writer);
+        boolean broke =
+                result instanceof SendResult.MayHaveRun || result instanceof SendResult.BrokenOff;
+        if (broke && !writer.hasEvents() && !exchange.isCancelled()) {
+            long heldMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNs);
+            crashGuard.exchangeBroke(runner, heldMs);
+        } else if (result instanceof SendResult.Delivered) {
+            crashGuard.completed();
+        }
+        return result;
+    }
+
     /** Returns the outcome if the request gives up, or null if it looks for a runner again. */
     private RetryOutcome withoutRunner(SendResult last) throws InterruptedException {
         if (isOriginGone()) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportAggregator.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportAggregator.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import org.skylarkmast.relay.limit.RateLimitReports;
 import org.skylarkmast.relay.peer.PeerNode;
+import org.skylarkmast.relay.quarantine.CrashReports;
 
 /**
  * Adds up the load reports of entry nodes and the totals of other storage nodes; thread-safe, no
@@ -53,6 +54,7 @@
     private final Map<String, Reporter> reporters = new HashMap<>();
     private final Map<String, PeerTotals> totalsByPeer = new HashMap<>();
     private final RateLimitReports rateLimits;
+    private final CrashReports crashes;
 
     private static final class RunnerTotals {
         final Map<String, InFlight> inFlightByReporter = new HashMap<>();
@@ -91,6 +93,7 @@
         this.clockNs = clockNs;
         this.random = random;
         this.rateLimits = new RateLimitReports(clockNs);
+        this.crashes = new CrashReports(clockNs);
     }
 
     /**
@@ -100,6 +103,7 @@
     public synchronized void report(EntryNodeReport report) {
         String reporter = report.process();
         rateLimits.merge(report.rateLimits());
+        crashes.merge(report.quarantine());
         long nowNs = clockNs.getAsLong();
         reporters.put(reporter, new Reporter(report.peerAddress(), nowNs));
         totalsByIncarnation.values().forEach(totals -> totals.inFlightByReporter.remove(reporter));
@@ -131,6 +135,7 @@
      */
     public synchronized void putPeerTotals(String storageNode, LoadReportTotals totals) {
         rateLimits.merge(totals.rateLimits());
+        crashes.merge(totals.quarantine());
         totalsByPeer.put(storageNode, new PeerTotals(totals, clockNs.getAsLong()));
     }
 
@@ -145,7 +150,11 @@
                 (incarnation, totals) ->
                         localReports.add(toLoadReport(incarnation, totals, nowNs)));
         return new LoadReportTotals(
-                localReports, reporters.size(), rateLimits.newest(), localPeers(nowNs));
+                localReports,
+                reporters.size(),
+                rateLimits.newest(),
+                localPeers(nowNs),
+                crashes.current());
     }
 
     /**
@@ -174,7 +183,11 @@
             }
         }
         return new LoadReportTotals(
-                List.copyOf(merged.values()), entryNodes, local.rateLimits(), peers);
+                List.copyOf(merged.values()),
+                entryNodes,
+                local.rateLimits(),
+                peers,
+                local.quarantine());
     }
 
     /**
@@ -190,7 +203,8 @@
                 totals.runners(),
                 totals.entryNodes(),
                 totals.rateLimits(),
-                others.subList(0, Math.min(PEERS_PER_REPORTER, others.size())));
+                others.subList(0, Math.min(PEERS_PER_REPORTER, others.size())),
+                totals.quarantine());
     }
 
     /** Entry nodes that take requests of others; a bounded number, in a large fleet drawn anew. */
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportCodec.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportCodec.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import org.skylarkmast.relay.limit.RateLimitReport;
 import org.skylarkmast.relay.peer.PeerNode;
+import org.skylarkmast.relay.quarantine.QuarantineCodec;
 
 /** Encodes and decodes load reports in the binary format of the JDK's data streams. */
 public final class LoadReportCodec {
@@ -65,6 +66,7 @@
         write(out, report.runners());
         writeRateLimits(out, report.rateLimits());
         out.writeUTF(report.peerAddress());
+        QuarantineCodec.write(out, report.quarantine());
     }
 
     /**
@@ -77,7 +79,8 @@
                 in.readUTF(),
                 read(in),
                 readRateLimits(in),
-                in.available() == 0 ? "" : in.readUTF());
+                in.available() == 0 ? "" : in.readUTF(),
+                QuarantineCodec.read(in));
     }
 
     /** Writes totals. */
@@ -87,6 +90,7 @@
         out.writeInt(totals.entryNodes());
         writeRateLimits(out, totals.rateLimits());
         writePeers(out, totals.peers());
+        QuarantineCodec.write(out, totals.quarantine());
     }
 
     /**
@@ -96,9 +100,12 @@
      */
     public static LoadReportTotals readTotals(DataInputStream in) throws IOException {
         List<RunnerLoadReport> runners = read(in);
-        return in.available() == 0
-                ? new LoadReportTotals(runners, 0, List.of(), List.of())
-                : new LoadReportTotals(runners, in.readInt(), readRateLimits(in), readPeers(in));
+        return new LoadReportTotals(
+                runners,
+                in.available() == 0 ? 0 : in.readInt(),
+                readRateLimits(in),
+                readPeers(in),
+                QuarantineCodec.read(in));
     }
 
     private static void writeRateLimits(DataOutputStream out, List<RateLimitReport> rateLimits)
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportTotals.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReportTotals.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.skylarkmast.relay.limit.RateLimitReport;
 import org.skylarkmast.relay.peer.PeerNode;
+import org.skylarkmast.relay.quarantine.QuarantineReport;
 
 /**
  * Totals of the load reports of entry nodes.
@@ -11,12 +12,14 @@
  * @param entryNodes number of entry nodes that reported recently, 0 if unknown
  * @param rateLimits the newest statement of each runner that has or recently had a rate limit
  * @param peers some of the entry nodes that take requests of other entry nodes
+ * @param quarantine crashes of runners and the requests suspected of them
  */
 public record LoadReportTotals(
         List<RunnerLoadReport> runners,
         int entryNodes,
         List<RateLimitReport> rateLimits,
-        List<PeerNode> peers) {
+        List<PeerNode> peers,
+        QuarantineReport quarantine) {
     public LoadReportTotals {
         runners = List.copyOf(runners);
         rateLimits = List.copyOf(rateLimits);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReporter.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/loadreport/LoadReporter.java
@@ -9,6 +9,7 @@
 import org.skylarkmast.relay.ledger.LedgerOperation;
 import org.skylarkmast.relay.limit.RunnerRateLimits;
 import org.skylarkmast.relay.peer.PeerDirectory;
+import org.skylarkmast.relay.quarantine.Quarantine;
 import org.skylarkmast.relay.runner.RunnerPool;
 
 /**
@@ -22,6 +23,7 @@
     private final String process;
     private final RunnerPool pool;
     private final RunnerRateLimits rateLimits;
+    private final Quarantine quarantine;
     private final PeerDirectory peers;
     private final Supplier<String> peerAddress;
     private final LedgerClient ledger;
@@ -39,6 +41,7 @@
             String process,
             RunnerPool pool,
             RunnerRateLimits rateLimits,
+            Quarantine quarantine,
             PeerDirectory peers,
             Supplier<String> peerAddress,
             LedgerClient ledger,
@@ -46,6 +49,7 @@
         this.process = process;
         this.pool = pool;
         this.rateLimits = rateLimits;
+        this.quarantine = quarantine;
         this.peers = peers;
         this.peerAddress = peerAddress;
         this.ledger = ledger;
@@ -65,7 +69,12 @@
             // within seconds.
             List<RunnerLoadReport> observed = pool.drainLoadReports();
             EntryNodeReport report =
-                    new EntryNodeReport(process, observed, rateLimits.reports(), peerAddress.get());
+                    new EntryNodeReport(
+                            process,
+                            observed,
+                            rateLimits.reports(),
+                            peerAddress.get(),
+                            quarantine.reports());
             byte[] body = LedgerCodec.encode(out -> LoadReportCodec.writeReport(out, report));
             LoadReportTotals totals =
                     ledger.callNearest(
@@ -77,6 +86,7 @@
                 entryNodes.accept(totals.entryNodes());
                 peers.replace(totals.peers());
                 rateLimits.apply(totals.rateLimits());
+                quarantine.apply(totals.quarantine());
                 pool.applyFleetReports(totals.runners(), observed);
             }
         } finally {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -21,8 +21,8 @@
 import org.skylarkmast.relay.forward.PeerRelay;
 import org.skylarkmast.relay.forward.RequestLog;
 import org.skylarkmast.relay.forward.RunnerContact;
+import org.skylarkmast.relay.forward.RunnerCrashDetector;
 import org.skylarkmast.relay.forward.WireDialect;
-import org.skylarkmast.relay.http.RunnerConnection;
 import org.skylarkmast.relay.http.RunnerConnectionPool;
 import org.skylarkmast.relay.ledger.CurrentView;
 import org.skylarkmast.relay.ledger.LedgerClient;
@@ -37,9 +37,9 @@
 import org.skylarkmast.relay.mirror.StoreMirror;
 import org.skylarkmast.relay.peer.PeerDirectory;
 import org.skylarkmast.relay.peer.RunnerReachability;
+import org.skylarkmast.relay.quarantine.Quarantine;
 import org.skylarkmast.relay.route.CallerLimits;
 import org.skylarkmast.relay.route.RoutingState;
-import org.skylarkmast.relay.runner.Runner;
 import org.skylarkmast.relay.runner.RunnerChooser;
 import org.skylarkmast.relay.runner.RunnerDirectory;
 import org.skylarkmast.relay.runner.RunnerPool;
@@ -60,9 +60,6 @@
      */
     private static final long REACHABILITY_CHECK_MS = 100;
 
-    /** Maximum wait for a runner to accept a probe; connecting takes a few milliseconds. */
-    private static final int PROBE_TIMEOUT_MS = 250;
-
     /** Longest wait of a shutdown for settlements; a storage node takes one in milliseconds. */
     private static final long SETTLEMENT_WAIT_MS = 200;
 
@@ -76,6 +73,12 @@
     private static final CallerLimits PEER_LIMITS =
             new CallerLimits(1 << 20, Integer.MAX_VALUE, 15_000, 15_000);
 
+    /**
+     * Pause between load reports after a crash of a runner: callers repeat a request that ended a
+     * runner within some hundred ms, at another entry node.
+     */
+    private static final long REPORT_AFTER_CRASH_MS = 250;
+
     private final RelaySettings settings;
     private final RoutingState routing = new RoutingState();
     private final RunnerDirectory directory = new RunnerDirectory();
@@ -86,6 +89,8 @@
     private final RunnerConnectionPool runnerConnections = new RunnerConnectionPool();
     private final RunnerConnectionPool peerConnections = new RunnerConnectionPool();
     private final PeerDirectory peers = new PeerDirectory();
+    private final Quarantine quarantine =
+            new Quarantine(System::nanoTime, ThreadLocalRandom.current().nextLong());
     private final RunnerReachability reachability;
     private final CallerServer callerServer;
     private final CallerServer peerServer;
@@ -127,6 +132,9 @@
                         runnerConnections,
                         admission,
                         contact,
+                        quarantine,
+                        new RunnerCrashDetector(pool, RunnerProbe::refuses, registry),
+                        () -> executor.execute(reportNow.get()),
                         new PeerRelay(reachability, peers, peerConnections, dialect, timers),
                         dialect,
                         ledger,
@@ -138,16 +146,7 @@
         callerServer = new CallerServer(listener, forwarder::serve, routing::callerLimits, timers);
         peerServer =
                 new CallerServer(peerListener, forwarder::servePeer, () -> PEER_LIMITS, timers);
-        LoadReporter reporter =
-                new LoadReporter(
-                        settings.node() + "/" + System.nanoTime(),
-                        pool,
-                        admission.limits(),
-                        peers,
-                        this::peerAddress,
-                        ledger,
-                        entryNodeCount::set);
-        reportNow.set(logged("report_failed", reporter::report));
+        reportNow.set(logged("report_failed", createReporter(pool, admission)::report));
         startPeriodicTasks(pool, admission, reportNow.get());
         registerGauges(admission);
         NodeEndpoints.start(settings.ip(), settings.metricsPort(), registry);
@@ -176,7 +175,7 @@
         return new RunnerReachability(
                 directory::all,
                 contact::suggestsCutOff,
-                runner -> acceptsConnection(runner, contact),
+                runner -> RunnerProbe.accepts(runner, contact),
                 onChange,
                 executor,
                 System::nanoTime,
@@ -184,19 +183,16 @@
                 registry);
     }
 
-    private static boolean acceptsConnection(Runner runner, RunnerContact contact) {
-        try {
-            RunnerConnection.open(runner.address(), PROBE_TIMEOUT_MS).abort();
-            contact.recordAccepted();
-            return true;
-        } catch (IOException e) {
-            LOG.atDebug()
-                    .addKeyValue("event", "probe_failed")
-                    .addKeyValue("runner", runner.id())
-                    .addKeyValue("reason", e.getMessage())
-                    .log();
-            return false;
-        }
+    private LoadReporter createReporter(RunnerPool pool, SendAdmission admission) {
+        return new LoadReporter(
+                settings.node() + "/" + System.nanoTime(),
+                pool,
+                admission.limits(),
+                quarantine,
+                peers,
+                this::peerAddress,
+                ledger,
+                entryNodeCount::set);
     }
 
     private RunnerPool createPool(SendAdmission admission) {
@@ -230,6 +226,18 @@
                 "skylarkmast_runners_limited",
                 "Runners that state a rate limit to this node.",
                 () -> admission.limits().limitedCount());
+        gauge(
+                "skylarkmast_open_settlements",
+                "Settlements that no quorum of storage nodes has acknowledged.",
+                ledger::outstandingSettlements);
+        gauge(
+                "skylarkmast_crash_suspects",
+                "Requests that were at a runner when it crashed.",
+                quarantine::suspectCount);
+        gauge(
+                "skylarkmast_quarantined_requests",
+                "Requests that are not sent to runners because runners crashed under them.",
+                quarantine::quarantinedCount);
     }
 
     private void startPeriodicTasks(RunnerPool pool, SendAdmission admission, Runnable report) {
@@ -242,10 +250,18 @@
                             peerConnections.evictUnusable(process -> true);
                             pool.removeUnregistered();
                             admission.retain(directory::isRegistered);
+                            quarantine.expire();
                         });
         Runnable check = logged("reachability_check_failed", this::checkReachability);
         schedule(housekeeping, SWEEP_MS);
         schedule(() -> executor.execute(report), REPORT_MS);
+        Runnable reportAfterCrash =
+                () -> {
+                    if (quarantine.hasRecentCrash()) {
+                        executor.execute(report);
+                    }
+                };
+        schedule(reportAfterCrash, REPORT_AFTER_CRASH_MS);
         schedule(() -> executor.execute(check), REACHABILITY_CHECK_MS);
     }
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
@@ -43,9 +43,6 @@
     /** Rounds of the coordinator between removals of expired records. */
     private static final int ROUNDS_PER_EXPIRY = 10;
 
-    /** Load report totals are exchanged every second, as often as entry nodes report. */
-    private static final int ROUNDS_PER_LOAD_EXCHANGE = 2;
-
     /**
      * Sends to a runner that may precede the times that its rate limit sets; without any, half of
      * the limit would be unused at random arrivals.
@@ -165,12 +162,10 @@
      */
     private void runExchanges() {
         LoadReportExchange loadExchange = new LoadReportExchange(loadReports, storageNodes);
-        for (int round = 0; !Thread.currentThread().isInterrupted(); round++) {
+        while (!Thread.currentThread().isInterrupted()) {
             try {
                 mirror.fetchChanges(views.current(), self);
-                if (round % ROUNDS_PER_LOAD_EXCHANGE == 0) {
-                    loadExchange.fetchAll(views.current(), self);
-                }
+                loadExchange.fetchAll(views.current(), self);
                 Thread.sleep(ROUND_MS);
             } catch (RuntimeException e) {
                 LOG.atError().addKeyValue("event", "exchange_failed").setCause(e).log();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/quarantine/Quarantine.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/quarantine/Quarantine.java
@@ -30,6 +30,9 @@
     /** Longest period, without the jitter of at most {@link #BASE_PERIOD_MS}. */
     static final long MAX_PERIOD_MS = 240_000;
 
+    /** Time after a crash in which the nodes tell each other of crashes more often. */
+    private static final long RECENT_NS = TimeUnit.SECONDS.toNanos(10);
+
     /** Number of crashes from which on each crash doubles the period. */
     private static final int CRASHES_OF_BASE_PERIOD = 3;
 
@@ -42,7 +45,7 @@
     private final CrashReports known;
     private final Map<RequestFingerprint, Long> probedNs = new ConcurrentHashMap<>();
     private final Set<RequestFingerprint> inForce = new HashSet<>();
-    private volatile Snapshot snapshot = new Snapshot(Set.of(), Map.of());
+    private volatile Snapshot snapshot = new Snapshot(Set.of(), Map.of(), false, 0);
 
     /**
      * The present knowledge.
@@ -50,7 +53,10 @@
      * @param suspects requests that are suspected of a crash, blamed ones included
      */
     private record Snapshot(
-            Set<RequestFingerprint> suspects, Map<RequestFingerprint, Period> periods) {}
+            Set<RequestFingerprint> suspects,
+            Map<RequestFingerprint, Period> periods,
+            boolean hasCrash,
+            long newestCrashNs) {}
 
     /** The period in which a blamed request is not admitted. */
     private record Period(int crashes, long untilNs) {}
@@ -133,6 +139,11 @@
         return !snapshot.suspects().isEmpty();
     }
 
+    /** Whether a runner ended a short while ago, so that other nodes may learn of more soon. */
+    public boolean hasRecentCrash() {
+        return snapshot.hasCrash() && clockNs.getAsLong() - snapshot.newestCrashNs() < RECENT_NS;
+    }
+
     /** Returns the number of suspected requests, quarantined ones included. */
     public int suspectCount() {
         return snapshot.suspects().size();
@@ -183,7 +194,9 @@
         List<CrashReport> crashes = known.current().crashes();
         long nowNs = clockNs.getAsLong();
         Set<RequestFingerprint> suspects = new HashSet<>();
+        long newestAgeMs = CrashReports.REPEATED_RETENTION_MS;
         for (CrashReport crash : crashes) {
+            newestAgeMs = Math.min(newestAgeMs, crash.ageMs());
             crash.suspects().forEach(suspect -> suspects.add(suspect.fingerprint()));
         }
         Map<RequestFingerprint, Period> periods = new HashMap<>();
@@ -193,7 +206,12 @@
                     nowNs + TimeUnit.MILLISECONDS.toNanos(periodMs(blame) - blame.newestAgeMs());
             periods.put(blame.fingerprint(), new Period(blame.crashes(), untilNs));
         }
-        snapshot = new Snapshot(Set.copyOf(suspects), Map.copyOf(periods));
+        snapshot =
+                new Snapshot(
+                        Set.copyOf(suspects),
+                        Map.copyOf(periods),
+                        !crashes.isEmpty(),
+                        nowNs - TimeUnit.MILLISECONDS.toNanos(newestAgeMs));
         probedNs.keySet().retainAll(periods.keySet());
         logChanges(periods, nowNs);
     }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/loadreport/LoadReportAggregatorTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/loadreport/LoadReportAggregatorTest.java
@@ -9,6 +9,7 @@
 import org.skylarkmast.relay.ledger.LedgerCodec;
 import org.skylarkmast.relay.limit.RateLimitReport;
 import org.skylarkmast.relay.peer.PeerNode;
+import org.skylarkmast.relay.quarantine.QuarantineReport;
 
 /** Tests adding up load reports about a runner, their decay and expiry, and their encoding. */
 class LoadReportAggregatorTest {
@@ -27,9 +28,27 @@
     void addsUpReportersAndOtherStorageNodes() {
         LoadReportAggregator here = aggregator();
         LoadReportAggregator there = aggregator();
-        here.report(new EntryNodeReport("a", List.of(loadReport(2, 100, 4, 1)), List.of(), ""));
-        here.report(new EntryNodeReport("b", List.of(loadReport(1, 60, 2, 0)), List.of(), ""));
-        there.report(new EntryNodeReport("c", List.of(loadReport(3, 200, 4, 3)), List.of(), ""));
+        here.report(
+                new EntryNodeReport(
+                        "a",
+                        List.of(loadReport(2, 100, 4, 1)),
+                        List.of(),
+                        "",
+                        QuarantineReport.EMPTY));
+        here.report(
+                new EntryNodeReport(
+                        "b",
+                        List.of(loadReport(1, 60, 2, 0)),
+                        List.of(),
+                        "",
+                        QuarantineReport.EMPTY));
+        there.report(
+                new EntryNodeReport(
+                        "c",
+                        List.of(loadReport(3, 200, 4, 3)),
+                        List.of(),
+                        "",
+                        QuarantineReport.EMPTY));
         here.putPeerTotals("there", there.localTotals());
         RunnerLoadReport total = here.fleetTotals().runners().getFirst();
         assertThat(total.inFlight()).isEqualTo(6);
@@ -42,11 +61,23 @@
     @Test
     void reportReplacesItsReportersRequestsInFlight() {
         LoadReportAggregator aggregator = aggregator();
-        aggregator.report(new EntryNodeReport("a", List.of(loadReport(5, 0, 0, 0)), List.of(), ""));
         aggregator.report(
-                new EntryNodeReport("a", List.of(loadReport(2, 10, 1, 0)), List.of(), ""));
+                new EntryNodeReport(
+                        "a",
+                        List.of(loadReport(5, 0, 0, 0)),
+                        List.of(),
+                        "",
+                        QuarantineReport.EMPTY));
+        aggregator.report(
+                new EntryNodeReport(
+                        "a",
+                        List.of(loadReport(2, 10, 1, 0)),
+                        List.of(),
+                        "",
+                        QuarantineReport.EMPTY));
         assertThat(aggregator.fleetTotals().runners().getFirst().inFlight()).isEqualTo(2);
-        aggregator.report(new EntryNodeReport("a", List.of(), List.of(), ""));
+        aggregator.report(
+                new EntryNodeReport("a", List.of(), List.of(), "", QuarantineReport.EMPTY));
         assertThat(aggregator.fleetTotals().runners().getFirst().inFlight()).isEqualTo(0);
     }
 
@@ -54,7 +85,12 @@
     void requestsInFlightExpireWhenTheirReporterStops() {
         LoadReportAggregator aggregator = aggregator();
         aggregator.report(
-                new EntryNodeReport("a", List.of(loadReport(5, 10, 1, 0)), List.of(), ""));
+                new EntryNodeReport(
+                        "a",
+                        List.of(loadReport(5, 10, 1, 0)),
+                        List.of(),
+                        "",
+                        QuarantineReport.EMPTY));
         nowMs += 3_100;
         assertThat(aggregator.fleetTotals().runners().getFirst().inFlight()).isEqualTo(0);
     }
@@ -63,7 +99,12 @@
     void failuresDecay() {
         LoadReportAggregator aggregator = aggregator();
         aggregator.report(
-                new EntryNodeReport("a", List.of(loadReport(0, 100, 8, 8)), List.of(), ""));
+                new EntryNodeReport(
+                        "a",
+                        List.of(loadReport(0, 100, 8, 8)),
+                        List.of(),
+                        "",
+                        QuarantineReport.EMPTY));
         nowMs += (long) LoadReportAggregator.FAILURE_HALF_LIFE_MS;
         assertThat(aggregator.fleetTotals().runners().getFirst().failed()).isWithin(0.1).of(4);
         nowMs += 10 * (long) LoadReportAggregator.FAILURE_HALF_LIFE_MS;
@@ -74,9 +115,15 @@
     void runnersWithoutReportsExpire() {
         LoadReportAggregator aggregator = aggregator();
         aggregator.report(
-                new EntryNodeReport("a", List.of(loadReport(1, 100, 1, 0)), List.of(), ""));
+                new EntryNodeReport(
+                        "a",
+                        List.of(loadReport(1, 100, 1, 0)),
+                        List.of(),
+                        "",
+                        QuarantineReport.EMPTY));
         nowMs += 120_000;
-        aggregator.report(new EntryNodeReport("a", List.of(), List.of(), ""));
+        aggregator.report(
+                new EntryNodeReport("a", List.of(), List.of(), "", QuarantineReport.EMPTY));
         assertThat(aggregator.fleetTotals().runners()).isEmpty();
     }
 
@@ -91,10 +138,10 @@
     void countsEntryNodesOfAllStorageNodes() {
         LoadReportAggregator here = aggregator();
         LoadReportAggregator there = aggregator();
-        here.report(new EntryNodeReport("a", List.of(), List.of(), ""));
-        here.report(new EntryNodeReport("a", List.of(), List.of(), ""));
-        there.report(new EntryNodeReport("b", List.of(), List.of(), ""));
-        there.report(new EntryNodeReport("c", List.of(), List.of(), ""));
+        here.report(new EntryNodeReport("a", List.of(), List.of(), "", QuarantineReport.EMPTY));
+        here.report(new EntryNodeReport("a", List.of(), List.of(), "", QuarantineReport.EMPTY));
+        there.report(new EntryNodeReport("b", List.of(), List.of(), "", QuarantineReport.EMPTY));
+        there.report(new EntryNodeReport("c", List.of(), List.of(), "", QuarantineReport.EMPTY));
         here.putPeerTotals("there", there.localTotals());
         assertThat(here.fleetTotals().entryNodes()).isEqualTo(3);
         nowMs += 5_100;
@@ -107,11 +154,25 @@
         LoadReportAggregator there = aggregator();
         here.report(
                 new EntryNodeReport(
-                        "a", List.of(), List.of(new RateLimitReport("r", 9, 2_000)), ""));
+                        "a",
+                        List.of(),
+                        List.of(new RateLimitReport("r", 9, 2_000)),
+                        "",
+                        QuarantineReport.EMPTY));
         there.report(
-                new EntryNodeReport("b", List.of(), List.of(new RateLimitReport("r", 4, 100)), ""));
+                new EntryNodeReport(
+                        "b",
+                        List.of(),
+                        List.of(new RateLimitReport("r", 4, 100)),
+                        "",
+                        QuarantineReport.EMPTY));
         there.report(
-                new EntryNodeReport("c", List.of(), List.of(new RateLimitReport("r", 6, 900)), ""));
+                new EntryNodeReport(
+                        "c",
+                        List.of(),
+                        List.of(new RateLimitReport("r", 6, 900)),
+                        "",
+                        QuarantineReport.EMPTY));
         nowMs += 50;
         here.putPeerTotals("there", there.localTotals());
         assertThat(here.fleetTotals().rateLimits())
@@ -124,9 +185,14 @@
     void namesEntryNodesThatTakeRequestsOfOthers() {
         LoadReportAggregator here = aggregator();
         LoadReportAggregator there = aggregator();
-        here.report(new EntryNodeReport("a", List.of(), List.of(), "10.0.0.1:7020"));
-        here.report(new EntryNodeReport("cut off", List.of(), List.of(), ""));
-        there.report(new EntryNodeReport("b", List.of(), List.of(), "10.0.0.2:7020"));
+        here.report(
+                new EntryNodeReport(
+                        "a", List.of(), List.of(), "10.0.0.1:7020", QuarantineReport.EMPTY));
+        here.report(
+                new EntryNodeReport("cut off", List.of(), List.of(), "", QuarantineReport.EMPTY));
+        there.report(
+                new EntryNodeReport(
+                        "b", List.of(), List.of(), "10.0.0.2:7020", QuarantineReport.EMPTY));
         here.putPeerTotals("there", there.localTotals());
         assertThat(here.fleetTotalsFor("a").peers())
                 .containsExactly(new PeerNode("b", "10.0.0.2:7020"));
@@ -143,7 +209,12 @@
         for (int i = 0; i < 67; i++) {
             String process = "n" + i;
             aggregator.report(
-                    new EntryNodeReport(process, List.of(), List.of(), process + ":7020"));
+                    new EntryNodeReport(
+                            process,
+                            List.of(),
+                            List.of(),
+                            process + ":7020",
+                            QuarantineReport.EMPTY));
         }
         assertThat(aggregator.fleetTotalsFor("n1").peers()).hasSize(4);
         assertThat(aggregator.localTotals().peers()).hasSize(16);
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/loadreport/LoadReportCodecTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/loadreport/LoadReportCodecTest.java
@@ -8,6 +8,7 @@
 import org.skylarkmast.relay.ledger.LedgerCodec;
 import org.skylarkmast.relay.limit.RateLimitReport;
 import org.skylarkmast.relay.peer.PeerNode;
+import org.skylarkmast.relay.quarantine.QuarantineReport;
 
 class LoadReportCodecTest {
     private static final RunnerLoadReport REPORT = new RunnerLoadReport("r", 1, 2, 3, 4, 5);
@@ -19,7 +20,8 @@
                         List.of(REPORT),
                         6,
                         List.of(new RateLimitReport("r", 9.4, 120)),
-                        List.of(new PeerNode("p", "127.0.0.1:1")));
+                        List.of(new PeerNode("p", "127.0.0.1:1")),
+                        QuarantineReport.EMPTY);
         byte[] bytes = LedgerCodec.encode(out -> LoadReportCodec.writeTotals(out, totals));
         assertThat(LedgerCodec.decode(bytes, LoadReportCodec::readTotals)).isEqualTo(totals);
     }
@@ -28,12 +30,16 @@
     void readsTotalsOfEarlierRelease() throws IOException {
         byte[] bytes = LedgerCodec.encode(out -> LoadReportCodec.write(out, List.of(REPORT)));
         assertThat(LedgerCodec.decode(bytes, LoadReportCodec::readTotals))
-                .isEqualTo(new LoadReportTotals(List.of(REPORT), 0, List.of(), List.of()));
+                .isEqualTo(
+                        new LoadReportTotals(
+                                List.of(REPORT), 0, List.of(), List.of(), QuarantineReport.EMPTY));
     }
 
     @Test
     void earlierReleaseReadsTotals() throws IOException {
-        LoadReportTotals totals = new LoadReportTotals(List.of(REPORT), 6, List.of(), List.of());
+        LoadReportTotals totals =
+                new LoadReportTotals(
+                        List.of(REPORT), 6, List.of(), List.of(), QuarantineReport.EMPTY);
         byte[] bytes = LedgerCodec.encode(out -> LoadReportCodec.writeTotals(out, totals));
         assertThat(LedgerCodec.decode(bytes, LoadReportCodec::read)).containsExactly(REPORT);
     }
@@ -45,7 +51,8 @@
                         "n/1",
                         List.of(REPORT),
                         List.of(new RateLimitReport("r", 9.4, 120)),
-                        "127.0.0.1:1");
+                        "127.0.0.1:1",
+                        QuarantineReport.EMPTY);
         byte[] bytes = LedgerCodec.encode(out -> LoadReportCodec.writeReport(out, report));
         assertThat(LedgerCodec.decode(bytes, LoadReportCodec::readReport)).isEqualTo(report);
     }
@@ -59,6 +66,8 @@
                             LoadReportCodec.write(out, List.of(REPORT));
                         });
         assertThat(LedgerCodec.decode(bytes, LoadReportCodec::readReport))
-                .isEqualTo(new EntryNodeReport("n/1", List.of(REPORT), List.of(), ""));
+                .isEqualTo(
+                        new EntryNodeReport(
+                                "n/1", List.of(REPORT), List.of(), "", QuarantineReport.EMPTY));
     }
 }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetSimulation.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetSimulation.java
@@ -11,6 +11,7 @@
 import org.skylarkmast.relay.loadreport.EntryNodeReport;
 import org.skylarkmast.relay.loadreport.LoadReportAggregator;
 import org.skylarkmast.relay.loadreport.RunnerLoadReport;
+import org.skylarkmast.relay.quarantine.QuarantineReport;
 
 /**
  * Simulates many entry nodes that send requests to shared runners, on a virtual clock.
@@ -194,7 +195,9 @@
 
     private void report(int node) {
         List<RunnerLoadReport> loadReports = pools.get(node).drainLoadReports();
-        aggregator.report(new EntryNodeReport("n" + node, loadReports, List.of(), ""));
+        aggregator.report(
+                new EntryNodeReport(
+                        "n" + node, loadReports, List.of(), "", QuarantineReport.EMPTY));
         pools.get(node).applyFleetReports(aggregator.fleetTotals().runners(), loadReports);
         if (nowMs < END_MS) {
             schedule(REPORT_INTERVAL_MS, () -> report(node));
