[relay] Settle a reservation if another entry node refuses the request

What callers saw: a program whose node had reserved tokens, then lost its runners and left the request to another node that refused it before it reserved, was told 503 for a while and 402 afterwards, although nothing had been spent.

Cause: the first node leaves the settlement to the other one, which settles only what it has reserved itself. An answer from 300 on hands no tokens to the caller, so the first node now settles nothing spent. A request that may have run before is answered 502 by the other node, which hands out nothing either; a final count that the other one wrote first stays.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -18,6 +18,10 @@
 
 /** Serves one request; confined to one thread. */
 final class RequestHandler {
+
+    /** Answers from this status on hand no tokens to the caller. */
+    private static final int LOWEST_STATUS_WITHOUT_TOKENS = 300;
+
     private final ForwardingContext context;
     private final CallerConnection caller;
     private final InboundRequest request;
@@ -257,7 +261,7 @@
      *
      * @param mayHaveRun whether a runner may have run the request already
      * @param reserved whether this node has reserved tokens; the other one counts the same
-     *     reservation and settles it
+     *     reservation and settles it, unless it refuses the request before
      */
     private boolean leaveToPeer(
             int maxAttempts, boolean mayHaveRun, boolean reserved, RequestLog.Entry entry)
@@ -291,7 +295,12 @@
                             exchange.isExpired()
                                     ? Refusal.timedOut("no answer in time")
                                     : Refusal.mayHaveRun(broken.reason());
-                    case SendResult.Delivered delivered -> null;
+                    case SendResult.Delivered delivered -> {
+                        if (reserved && delivered.status() >= LOWEST_STATUS_WITHOUT_TOKENS) {
+                            settle(0);
+                        }
+                        yield null;
+                    }
                     case SendResult.BrokenOff brokenOff -> null;
                     case SendResult.CallerLost lost -> null;
                 };
