[relay] Go on repeating settlements after one that throws

An exception of one send left the queue marked as repeating with nobody repeating, so all later settlements that fail would have stayed open, each holding its program's budget. It is logged and counts as a failed send now.

Before: repeatsSettlementsWhoseSendsThrow expected 0 but was 1 after 20 s.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/SettlementQueue.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/SettlementQueue.java
@@ -119,7 +119,16 @@
     }
 
     private boolean send(Settlement settlement) throws InterruptedException {
-        boolean acknowledged = sender.send(settlement);
+        boolean acknowledged = false;
+        try {
+            acknowledged = sender.send(settlement);
+        } catch (RuntimeException e) {
+            LOG.atError()
+                    .addKeyValue("event", "settlement_failed")
+                    .addKeyValue("request", settlement.attempt())
+                    .setCause(e)
+                    .log();
+        }
         boolean startRepeating = false;
         lock.lock();
         try {
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/ledger/SettlementQueueTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/ledger/SettlementQueueTest.java
@@ -104,6 +104,24 @@
         assertThat(acknowledged).isEmpty();
     }
 
+    @Test
+    void repeatsSettlementsWhoseSendsThrow() throws Exception {
+        AtomicInteger sends = new AtomicInteger();
+        SettlementQueue throwing =
+                new SettlementQueue(
+                        _ -> {
+                            if (sends.incrementAndGet() <= 2) {
+                                throw new IllegalStateException("send failed");
+                            }
+                            return true;
+                        },
+                        executor,
+                        clockNs::get,
+                        CAPACITY);
+        throwing.add(settlement("r1"));
+        assertThat(throwing.awaitAcknowledged(WAIT_MS)).isEqualTo(0);
+    }
+
     @Test
     void tellsHowManyAreLeftAfterTheWait() throws Exception {
         addUnreachable(3);
