[relay] Do not take the end of a leaving runner for a crash

A runner whose registration had ended, as that of some leaving runners does, and that then ended under a long request counted as crashed; only draining was looked at. A runner has crashed only if it was registered and not draining.

Before: RunnerCrashDetectorTest, registration ended: expected false but was true.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerCrashDetector.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerCrashDetector.java
@@ -15,7 +15,8 @@
  * Tells whether a runner ended under a request whose exchange broke; thread-safe.
  *
  * <p>A broken exchange alone proves nothing: links break, and nodes are cut off. The runner has
- * ended if its host refuses a new connection at once. A runner that was draining has not crashed.
+ * ended if its host refuses a new connection at once. A runner that drains, or whose registration
+ * has ended, was about to leave and has not crashed.
  */
 public final class RunnerCrashDetector {
     private static final Logger LOG = LoggerFactory.getLogger(RunnerCrashDetector.class);
@@ -44,8 +45,7 @@
 
     /** Whether {@code runner}, to which an exchange has just broken, has crashed. */
     boolean hasCrashed(Runner runner) {
-        boolean draining = pool.isRegistered(runner) && !pool.isAvailable(runner);
-        if (draining || !refusesNow(runner)) {
+        if (!pool.isAvailable(runner) || !refusesNow(runner)) {
             return false;
         }
         crashes.inc();
