[relay] End an entry node's threads and listeners when it is closed

Cause: EntryNode.close() only stopped accepting. Timers, ping of storage nodes, mirror, readiness and metrics listeners of each node that a test started lived on until the test process ended.

Change: close() ends connections, timers, tasks, mirror and both listeners; the shutdown in order, drain(), only stops accepting as before.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnectionPool.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnectionPool.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /** A pool of idle connections, one queue per runner. Thread-safe. */
-public final class RunnerConnectionPool {
+public final class RunnerConnectionPool implements AutoCloseable {
 
     /** Idle time after which a connection is no longer reused if the runner declares no timeout. */
     private static final long DEFAULT_KEEP_ALIVE_MS = 1000;
@@ -95,6 +95,16 @@
                 });
     }
 
+    /** Closes the idle connections. */
+    @Override
+    public void close() {
+        for (Deque<Idle> idle : idleByRunner.values()) {
+            for (Idle next = idle.pollFirst(); next != null; next = idle.pollFirst()) {
+                next.connection().abort();
+            }
+        }
+    }
+
     /** Returns the number of connections opened since the start. */
     public long openedCount() {
         return openedCount.get();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
@@ -92,6 +92,11 @@
         return reachable();
     }
 
+    /** Records that another process answers at the address of a storage node. */
+    public void recordOtherProcess(LedgerView.Member member) {
+        reachability.recordOtherProcess(member);
+    }
+
     /** Pings the storage nodes that are due for a probe; called several times a second. */
     public void probe() {
         LedgerView view = views.current();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/StorageNodeClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/StorageNodeClient.java
@@ -20,14 +20,29 @@
     public static final int STATUS_NEWER_VIEW = 409;
 
     private final HttpClient http;
+    private static final int STATUS_UNAVAILABLE = 503;
+
     private final Consumer<LedgerView> onView;
+    private final Consumer<LedgerView.Member> onOtherProcess;
 
     /**
      * @param onView receives the newer views that storage nodes respond with
      */
     public StorageNodeClient(HttpClient http, Consumer<LedgerView> onView) {
+        this(http, onView, _ -> {});
+    }
+
+    /**
+     * @param onView receives the newer views that storage nodes respond with
+     * @param onOtherProcess receives a member at whose address another process answers a ping
+     */
+    public StorageNodeClient(
+            HttpClient http,
+            Consumer<LedgerView> onView,
+            Consumer<LedgerView.Member> onOtherProcess) {
         this.http = http;
         this.onView = onView;
+        this.onOtherProcess = onOtherProcess;
     }
 
     /**
@@ -55,7 +70,9 @@
         String reason;
         try {
             if (outcome instanceof HttpOutcome.Answered answered) {
-                if (answered.status() == 200) {
+                if (isOfOtherProcess(operation, answered)) {
+                    onOtherProcess.accept(member);
+                } else if (answered.status() == 200) {
                     return LedgerCodec.decode(answered.body(), reader);
                 }
                 if (answered.status() == STATUS_NEWER_VIEW) {
@@ -77,4 +94,12 @@
                 .log();
         return null;
     }
+
+    /** A storage node answers a ping with a ledger message, or with 503 if it fails. */
+    private static boolean isOfOtherProcess(
+            LedgerOperation operation, HttpOutcome.Answered answered) {
+        return operation == LedgerOperation.PING
+                && answered.status() != STATUS_UNAVAILABLE
+                && !answered.header("content-type").orElse("").equals(MEDIA_TYPE);
+    }
 }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/StorageNodeReachability.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/StorageNodeReachability.java
@@ -50,10 +50,19 @@
      */
     private static final long FAILURE_PROBE_MS = 300;
 
+    /**
+     * First pause between probes of an address at which another process answers; it doubles each
+     * time.
+     */
+    private static final long OTHER_PROCESS_PAUSE_MS = 1000;
+
+    private static final long MAX_OTHER_PROCESS_PAUSE_MS = 30_000;
+
     private static final long NEVER = Long.MIN_VALUE;
 
     private final LongSupplier clockNs;
     private final Map<String, LastCalls> lastCallsByAddress = new ConcurrentHashMap<>();
+    private final Map<String, OtherProcess> otherProcessesByAddress = new ConcurrentHashMap<>();
     private volatile long quorumAssumedUntilNs = NEVER;
     private volatile long lastIdleProbeNs = NEVER;
 
@@ -65,10 +74,42 @@
      */
     private record LastCalls(long answeredNs, long failedNs) {}
 
+    /**
+     * Another process at the address of a storage node.
+     *
+     * @param pauseMs pause before the next probe
+     */
+    private record OtherProcess(long answeredNs, long pauseMs) {}
+
     StorageNodeReachability(LongSupplier clockNs) {
         this.clockNs = clockNs;
     }
 
+    /**
+     * Records that another process answered a ping at the address of {@code member}, which is then
+     * probed less and less often: a storage node may come back there, or the view may be old.
+     */
+    void recordOtherProcess(LedgerView.Member member) {
+        OtherProcess before = otherProcessesByAddress.get(member.address());
+        long pauseMs =
+                before == null
+                        ? OTHER_PROCESS_PAUSE_MS
+                        : Math.min(MAX_OTHER_PROCESS_PAUSE_MS, 2 * before.pauseMs());
+        otherProcessesByAddress.put(
+                member.address(), new OtherProcess(clockNs.getAsLong(), pauseMs));
+        LOG.atWarn()
+                .addKeyValue("event", "keeper_address_taken")
+                .addKeyValue("keeper", member)
+                .addKeyValue("reason", "another process answers there")
+                .addKeyValue("nextProbeMs", pauseMs)
+                .log();
+    }
+
+    private boolean isPaused(LedgerView.Member member) {
+        OtherProcess other = otherProcessesByAddress.get(member.address());
+        return other != null && sinceMs(other.answeredNs()) < other.pauseMs();
+    }
+
     /** Records the result of a call. */
     void recordCall(LedgerView.Member member, boolean answered) {
         long nowNs = clockNs.getAsLong();
@@ -78,6 +119,9 @@
                         answered
                                 ? new LastCalls(nowNs, NEVER)
                                 : new LastCalls(lastCalls(member).answeredNs(), nowNs));
+        if (answered) {
+            otherProcessesByAddress.remove(member.address());
+        }
         boolean wasFailing = before != null && before.failedNs() != NEVER;
         if (answered && wasFailing) {
             log("keeper_regained", member);
@@ -119,25 +163,24 @@
 
     /** Returns the members to probe now; called several times a second. */
     List<LedgerView.Member> dueForProbe(LedgerView view) {
-        lastCallsByAddress
-                .keySet()
-                .removeIf(
-                        address ->
-                                view.members().stream()
-                                        .noneMatch(member -> member.address().equals(address)));
+        lastCallsByAddress.keySet().removeIf(address -> !isInView(address, view));
+        otherProcessesByAddress.keySet().removeIf(address -> !isInView(address, view));
         List<LedgerView.Member> due = new ArrayList<>();
         boolean anyUnresponsive = false;
         for (LedgerView.Member member : view.members()) {
             LastCalls lastCalls = lastCalls(member);
             if (lastCalls.answeredNs() == NEVER || lastCalls.failedNs() != NEVER) {
-                due.add(member);
+                if (!isPaused(member)) {
+                    due.add(member);
+                }
                 anyUnresponsive = true;
             }
         }
         LedgerView.Member longestIdle = null;
         for (LedgerView.Member member : view.members()) {
             long idleMs = idleMs(member);
-            if (anyUnresponsive && idleMs >= FAILURE_PROBE_MS && !due.contains(member)) {
+            boolean isDue = anyUnresponsive && idleMs >= FAILURE_PROBE_MS;
+            if (isDue && !isPaused(member) && !due.contains(member)) {
                 due.add(member);
             }
             if (idleMs >= IDLE_PROBE_MS && (longestIdle == null || idleMs > idleMs(longestIdle))) {
@@ -153,6 +196,10 @@
         return due;
     }
 
+    private static boolean isInView(String address, LedgerView view) {
+        return view.members().stream().anyMatch(member -> member.address().equals(address));
+    }
+
     private long idleMs(LedgerView.Member member) {
         long answeredNs = lastCalls(member).answeredNs();
         return answeredNs == NEVER ? Long.MAX_VALUE : sinceMs(answeredNs);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -112,6 +112,13 @@
         }
     }
 
+    /** Cuts all open connections, also those with a request in progress. */
+    public void abortConnections() {
+        for (OpenConnection open : openConnections) {
+            open.connection.abort();
+        }
+    }
+
     /** Stops accepting connections; those accepted before count as open once this returns. */
     @Override
     public void close() {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -81,11 +81,11 @@
 
     private final RelaySettings settings;
     private final RoutingState routing = new RoutingState();
-    private final RunnerDirectory directory = new RunnerDirectory();
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
     private final CurrentView views;
     private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final RunnerDirectory directory = new RunnerDirectory();
     private final RunnerConnectionPool runnerConnections = new RunnerConnectionPool();
     private final RunnerConnectionPool peerConnections = new RunnerConnectionPool();
     private final PeerDirectory peers = new PeerDirectory();
@@ -99,6 +99,11 @@
     private final AtomicInteger entryNodeCount = new AtomicInteger();
     private final DrainTimeline drainTimeline;
     private final Forwarder forwarder;
+    private final HttpClient storageNodeConnections =
+            new HttpClient(STORAGE_NODE_IDLE_CONNECTIONS, STORAGE_NODE_CONNECT_TIMEOUT_MS);
+    private final HttpServer metricsServer;
+    private final HttpServer readinessServer;
+    private volatile MirrorClient mirrorClient;
 
     /**
      * Starts the node; it accepts connections once {@link #startAccepting} is called.
@@ -117,9 +122,9 @@
         views = new CurrentView(view -> onNewView(reportNow.get()));
         StorageNodeClient storageNodes =
                 new StorageNodeClient(
-                        new HttpClient(
-                                STORAGE_NODE_IDLE_CONNECTIONS, STORAGE_NODE_CONNECT_TIMEOUT_MS),
-                        views::offer);
+                        storageNodeConnections,
+                        views::offer,
+                        member -> ledgerClient().recordOtherProcess(member));
         ledger = new LedgerClient(views, storageNodes, networkOf(settings.ip()), executor);
         SendAdmission admission = createAdmission(storageNodes);
         RunnerPool pool = createPool(admission);
@@ -149,14 +154,18 @@
         reportNow.set(logged("report_failed", createReporter(pool, admission)::report));
         startPeriodicTasks(pool, admission, reportNow.get());
         registerGauges(admission);
-        NodeEndpoints.start(settings.ip(), settings.metricsPort(), registry);
-        startReadinessEndpoint(settings.readinessAddress());
+        metricsServer = NodeEndpoints.start(settings.ip(), settings.metricsPort(), registry);
+        readinessServer = startReadinessEndpoint(settings.readinessAddress());
         LOG.atInfo()
                 .addKeyValue("event", "entry_node_started")
                 .addKeyValue("settings", settings)
                 .log();
     }
 
+    private LedgerClient ledgerClient() {
+        return ledger;
+    }
+
     /**
      * A new view may contain storage nodes that have never been probed, and a node that has just
      * started needs what the others know of runners before its first sends.
@@ -288,17 +297,16 @@
         };
     }
 
-    private void startReadinessEndpoint(String address) throws IOException {
+    private HttpServer startReadinessEndpoint(String address) throws IOException {
         int colon = address.lastIndexOf(':');
-        var _ =
-                HttpServer.start(
-                        address.substring(0, colon),
-                        Integer.parseInt(address.substring(colon + 1)),
-                        0,
-                        call ->
-                                ready()
-                                        ? HttpReply.text(200, "ready\n")
-                                        : HttpReply.text(503, "not ready\n"));
+        return HttpServer.start(
+                address.substring(0, colon),
+                Integer.parseInt(address.substring(colon + 1)),
+                0,
+                call ->
+                        ready()
+                                ? HttpReply.text(200, "ready\n")
+                                : HttpReply.text(503, "not ready\n"));
     }
 
     /**
@@ -306,8 +314,7 @@
      */
     public void startMirror(KeyValueStore store, KeyRange keys, StoreMirror.Listener listener) {
         StoreMirror mirror = new StoreMirror(listener, System::nanoTime);
-        // Runs until the process exits.
-        var _ = new MirrorClient(store, keys, mirror, ledger);
+        mirrorClient = new MirrorClient(store, keys, mirror, ledger);
     }
 
     /**
@@ -345,12 +352,32 @@
     }
 
     /** Stops accepting connections from callers and other entry nodes. */
-    @Override
-    public void close() {
+    private void stopAccepting() {
         callerServer.close();
         peerServer.close();
     }
 
+    /**
+     * Ends the node at once, for processes that run several: its connections are cut, requests in
+     * progress included, and its threads and listeners end. {@link #drain} ends it in order.
+     */
+    @Override
+    public void close() {
+        stopAccepting();
+        if (mirrorClient != null) {
+            mirrorClient.close();
+        }
+        timers.shutdownNow();
+        callerServer.abortConnections();
+        peerServer.abortConnections();
+        executor.shutdownNow();
+        readinessServer.close();
+        metricsServer.close();
+        runnerConnections.close();
+        peerConnections.close();
+        storageNodeConnections.close();
+    }
+
     /**
      * Whether the node can serve new callers: it has a configuration, reaches the ledger, reaches
      * runners or knows an entry node that does, and is not draining.
@@ -383,7 +410,7 @@
             while (drainTimeline.isAccepting()) {
                 Thread.sleep(DRAIN_POLL_MS);
             }
-            close();
+            stopAccepting();
             LOG.atInfo()
                     .addKeyValue("event", "drain_closing")
                     .addKeyValue("openConnections", openConnections())
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/ledger/StorageNodeReachabilityTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/ledger/StorageNodeReachabilityTest.java
@@ -102,4 +102,29 @@
         assertThat(reachability.dueForProbe(view)).containsExactlyElementsIn(view.members());
         assertThat(reachability.hasQuorum(LedgerView.NONE)).isFalse();
     }
+
+    /** Guards against requests to a process that has got the address of a storage node. */
+    @ParameterizedTest(name = "{0} storage nodes")
+    @ValueSource(ints = {1, 3, 6})
+    void addressOfAnotherProcessIsProbedLessAndLessOften(int size) {
+        LedgerView view = view(size);
+        answerAll(view);
+        LedgerView.Member taken = view.members().getFirst();
+        reachability.recordCall(taken, false);
+        int probes = 0;
+        for (nowMs = STEP_MS; nowMs <= 120_000; nowMs += STEP_MS) {
+            for (LedgerView.Member member : reachability.dueForProbe(view)) {
+                boolean isTaken = member.equals(taken);
+                probes += isTaken ? 1 : 0;
+                if (isTaken) {
+                    reachability.recordOtherProcess(member);
+                }
+                reachability.recordCall(member, !isTaken);
+            }
+        }
+        assertThat(probes).isAtMost(10);
+        reachability.recordCall(taken, true);
+        reachability.recordCall(taken, false);
+        assertThat(reachability.dueForProbe(view)).contains(taken);
+    }
 }
