[relay] Send nothing new to runners whose answers say that they are leaving

Cause: a leaving runner was known by its registration alone; no code read the field.

Change: the adapter decodes it (reportsLeaving, answeringRunnerId). RunnerDirectory remembers the incarnation from the head of any answer on: success, error, rejection, head of a stream, one whose caller has left, a late answer to an earlier request. A misdirected answer is that of another runner, found by the id in it or by the address. It holds against any registration of that incarnation, also one that lapsed and came back or lost its start time; another incarnation of the id is used. It is forgotten after 10 minutes without a registration (monotonic clock), and above 4,096 runners the first one is, with a log line. A retry to a runner that had the request before checks this too, and a request that may go to no further runner is given up at once. An entry node that passes requests on learns of the runner by a field of the other node's answer, which does not reach the caller.

One log line (runner_leaving: runner, start, request, source, registered, age of the registration), a counter by source, a gauge.

Ruled out: load reports as carriers. They take up to 2.5 s and drain_ms is 2 s; not measured. If only leaving runners are left, a request waits a quarter of its objective for one that registers and is then rejected as not run: what a leaving runner starts now may be cut.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/AnswerWriter.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/AnswerWriter.java
@@ -8,6 +8,7 @@
 import org.skylarkmast.relay.http.Framing;
 import org.skylarkmast.relay.http.HeaderFields;
 import org.skylarkmast.relay.http.RunnerAnswer;
+import org.skylarkmast.relay.runner.Runner;
 
 /** Writes a runner's answer to the caller and records what was written. Confined to one thread. */
 final class AnswerWriter {
@@ -15,7 +16,9 @@
     private final BooleanSupplier closeAfterAnswer;
     private final int tokensPerEvent;
     private final boolean recordsOutput;
+    private final AnswerFields answerFields;
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private Runner runner;
     private boolean hasBegun;
     private boolean closesConnection;
     private boolean isComplete;
@@ -24,15 +27,34 @@
     private String runnerFraming = "";
     private int trailingBytes;
 
+    /** Translates the end-to-end fields of an answer to those that are written. */
+    @FunctionalInterface
+    interface AnswerFields {
+
+        /**
+         * Returns the fields to write.
+         *
+         * @param runner the runner that answers, null if another entry node passes the answer on
+         */
+        HeaderFields translate(HeaderFields fields, Runner runner);
+    }
+
     AnswerWriter(
             CallerConnection caller,
             BooleanSupplier closeAfterAnswer,
             int tokensPerEvent,
-            boolean recordsOutput) {
+            boolean recordsOutput,
+            AnswerFields answerFields) {
         this.caller = caller;
         this.closeAfterAnswer = closeAfterAnswer;
         this.tokensPerEvent = tokensPerEvent;
         this.recordsOutput = recordsOutput;
+        this.answerFields = answerFields;
+    }
+
+    /** Sets the runner whose answer is written next. */
+    void setRunner(Runner runner) {
+        this.runner = runner;
     }
 
     /** Whether the head of an answer has been written or attempted. */
@@ -84,8 +106,7 @@
         runnerFraming = answer.framing().label();
         hasBegun = true;
         closesConnection = closeAfterAnswer.getAsBoolean();
-        caller.writeAnswer(
-                answer.status(), Framing.endToEnd(answer.fields()), body, closesConnection);
+        caller.writeAnswer(answer.status(), fieldsToWrite(answer), body, closesConnection);
         isComplete = true;
     }
 
@@ -95,11 +116,14 @@
         if (!hasBegun) {
             hasBegun = true;
             closesConnection = closeAfterAnswer.getAsBoolean();
-            HeaderFields fields = Framing.endToEnd(answer.fields());
-            caller.beginStream(answer.status(), fields, closesConnection);
+            caller.beginStream(answer.status(), fieldsToWrite(answer), closesConnection);
         }
     }
 
+    private HeaderFields fieldsToWrite(RunnerAnswer answer) {
+        return answerFields.translate(Framing.endToEnd(answer.fields()), runner);
+    }
+
     /** Writes events immediately; they count as written even if the write fails. */
     void writeEvents(List<EventSplitter.Event> events) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/PeerRelay.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/PeerRelay.java
@@ -5,10 +5,14 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import org.skylarkmast.relay.http.HeaderFields;
+import org.skylarkmast.relay.http.RunnerAnswer;
 import org.skylarkmast.relay.http.RunnerConnectionPool;
 import org.skylarkmast.relay.peer.PeerDirectory;
 import org.skylarkmast.relay.peer.PeerNode;
 import org.skylarkmast.relay.peer.RunnerReachability;
+import org.skylarkmast.relay.runner.LeavingSource;
+import org.skylarkmast.relay.runner.Runner;
+import org.skylarkmast.relay.runner.RunnerPool;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,6 +34,15 @@
     /** Version of the configuration by which the request was accepted. */
     private static final String CONFIGURATION = "Skylarkmast-Configuration";
 
+    /**
+     * In an answer to another entry node: incarnation of the runner that answered, if that said
+     * that it is leaving.
+     */
+    private static final String LEAVING_RUNNER = "Skylarkmast-Leaving-Runner";
+
+    private static final Set<String> PEER_ANSWER_FIELDS =
+            Set.of(LEAVING_RUNNER.toLowerCase(Locale.ROOT));
+
     private static final Set<String> PEER_FIELDS =
             Set.of(
                     MAX_ATTEMPTS.toLowerCase(Locale.ROOT),
@@ -41,19 +54,23 @@
 
     private final RunnerReachability reachability;
     private final PeerDirectory peers;
+    private final RunnerPool pool;
     private final RequestSender sender;
 
     /**
+     * @param pool told of the runners that other nodes report to be leaving
      * @param connections connections to other entry nodes
      */
     public PeerRelay(
             RunnerReachability reachability,
             PeerDirectory peers,
+            RunnerPool pool,
             RunnerConnectionPool connections,
             WireDialect dialect,
             ScheduledExecutorService timers) {
         this.reachability = reachability;
         this.peers = peers;
+        this.pool = pool;
         this.sender = new RequestSender(connections, dialect::toPeerFields, dialect, timers);
     }
 
@@ -93,12 +110,13 @@
                 request.withFields(terms.mayHaveRun() ? fields.with(MAY_HAVE_RUN, "1") : fields);
         SendResult result = new SendResult.NotRun(false, "no other entry node is known");
         String lastPeer = "";
+        SendObserver observer = new LeavingObserver(pool, request.requestId());
         List<PeerNode> candidates = peers.shuffled();
         for (PeerNode peer : candidates.subList(0, Math.min(MAX_PEERS, candidates.size()))) {
             lastPeer = peer.process();
             Destination destination =
                     new Destination(peer.process(), peer.process(), peer.address());
-            result = sender.send(forPeer, destination, SendObserver.NONE, exchange, writer);
+            result = sender.send(forPeer, destination, observer, exchange, writer);
             if (!(result instanceof SendResult.NotRun notRun) || exchange.isCancelled()) {
                 break;
             }
@@ -112,6 +130,38 @@
         return new Relayed(result, lastPeer);
     }
 
+    /** Learns from another node's answers which runners are leaving. */
+    private record LeavingObserver(RunnerPool pool, String requestId) implements SendObserver {
+
+        @Override
+        public void headRead(RunnerAnswer answer) {
+            String incarnation = answer.fields().first(LEAVING_RUNNER);
+            if (incarnation == null) {
+                return;
+            }
+            int slash = incarnation.lastIndexOf('/');
+            try {
+                pool.recordLeaving(
+                        incarnation.substring(0, Math.max(0, slash)),
+                        Long.parseLong(incarnation.substring(slash + 1).strip()),
+                        LeavingSource.PEER,
+                        requestId);
+            } catch (NumberFormatException e) {
+                logUnreadable(LEAVING_RUNNER, incarnation);
+            }
+        }
+    }
+
+    /** Returns the fields of an answer to another node, which name a runner that is leaving. */
+    static HeaderFields toPeerAnswer(HeaderFields answerFields, Runner runner) {
+        return answerFields.with(LEAVING_RUNNER, runner.incarnation());
+    }
+
+    /** Returns the fields of another node's answer that are meant for the caller. */
+    static HeaderFields toCallerAnswer(HeaderFields answerFields) {
+        return answerFields.without(PEER_ANSWER_FIELDS);
+    }
+
     /** Returns the number of runners to which a request of another node may be sent. */
     static int maxAttempts(HeaderFields peerFields, int routeLimit) {
         String value = peerFields.first(MAX_ATTEMPTS);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 import org.skylarkmast.relay.http.CallerConnection;
 import org.skylarkmast.relay.http.Framing;
+import org.skylarkmast.relay.http.HeaderFields;
 import org.skylarkmast.relay.http.InboundRequest;
 import org.skylarkmast.relay.ledger.ChainOutcome;
 import org.skylarkmast.relay.ledger.TurnRecord;
@@ -15,6 +16,7 @@
 import org.skylarkmast.relay.route.RouteKind;
 import org.skylarkmast.relay.route.RoutingConfiguration;
 import org.skylarkmast.relay.route.TargetService;
+import org.skylarkmast.relay.runner.Runner;
 
 /** Serves one request; confined to one thread. */
 final class RequestHandler {
@@ -232,7 +234,16 @@
     private AnswerWriter answerWriter(boolean recordsOutput) {
         TargetService target = configuration.service(service);
         int tokensPerEvent = target == null ? 1 : target.tokensPerEvent();
-        return new AnswerWriter(caller, closeAfterAnswer, tokensPerEvent, recordsOutput);
+        return new AnswerWriter(
+                caller, closeAfterAnswer, tokensPerEvent, recordsOutput, this::answerFields);
+    }
+
+    private HeaderFields answerFields(HeaderFields fields, Runner runner) {
+        boolean namesRunner =
+                fromPeer && runner != null && context.dialect().reportsLeaving(fields);
+        return namesRunner
+                ? PeerRelay.toPeerAnswer(fields, runner)
+                : PeerRelay.toCallerAnswer(fields);
     }
 
     private OutboundRequest outboundRequest(
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
@@ -100,7 +100,7 @@
         long sentNs = System.nanoTime();
         try {
             writeRequest(request, destination, connection, exchange, writer);
-            answer = readHeadInTime(request, connection);
+            answer = readHeadInTime(request, connection, observer);
             observer.answered(answer);
             if (dialect.reportsNotRun(answer.status(), answer.fields())) {
                 reusable = discardInTime(connection, answer);
@@ -149,15 +149,16 @@
     }
 
     /** Reads the answer's head; aborts the connection when the head time-out passes. */
-    private RunnerAnswer readHeadInTime(OutboundRequest request, RunnerConnection connection)
+    private RunnerAnswer readHeadInTime(
+            OutboundRequest request, RunnerConnection connection, SendObserver observer)
             throws IOException {
         if (request.headTimeoutMs() == OutboundRequest.NO_HEAD_TIMEOUT) {
-            return readMatchingHead(request, connection);
+            return readMatchingHead(request, connection, observer);
         }
         ScheduledFuture<?> abortTimer =
                 timers.schedule(connection::abort, request.headTimeoutMs(), TimeUnit.MILLISECONDS);
         try {
-            return readMatchingHead(request, connection);
+            return readMatchingHead(request, connection, observer);
         } finally {
             abortTimer.cancel(false);
         }
@@ -239,10 +240,12 @@
     }
 
     /** Reads answers until one carries this request's id; skips late ones to earlier requests. */
-    private RunnerAnswer readMatchingHead(OutboundRequest request, RunnerConnection connection)
+    private RunnerAnswer readMatchingHead(
+            OutboundRequest request, RunnerConnection connection, SendObserver observer)
             throws IOException {
         for (int stray = 0; stray <= MAX_STRAY_ANSWERS; stray++) {
             RunnerAnswer answer = connection.readHead(request.method());
+            observer.headRead(answer);
             String answered = dialect.answeredRequestId(answer.fields());
             if (request.requestId().equals(answered)) {
                 return answer;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
@@ -216,6 +216,7 @@
 
     private SendResult send(Runner runner) throws InterruptedException {
         long sentNs = System.nanoTime();
+        writer.setRunner(runner);
         SendResult result =
                 sender.send(
                         outboundRequest(runner),
@@ -242,6 +243,10 @@
                     ORIGIN_GONE_RETRY_AFTER_MS,
                     "no runner of the software version that began the stream");
         }
+        if (isEveryAllowedRunnerLeaving()) {
+            return cannotContinue(
+                    last, NO_RUNNER_RETRY_AFTER_MS, "the runners that it was sent to are leaving");
+        }
         if (rateLimitWait.isDenied()) {
             if (rateLimitWait.extend()) {
                 return null;
@@ -339,6 +344,12 @@
         return binding.isFixed() && !pool.hasAvailableRunners(service, binding::allows);
     }
 
+    /** Whether no further runner is allowed, and those that were tried take no new requests. */
+    private boolean isEveryAllowedRunnerLeaving() {
+        return attemptedRunners.remaining() <= 0
+                && attemptedRunners.counted().stream().noneMatch(pool::isAvailable);
+    }
+
     /** Gives up a request for which there is no runner, as not run where that is certain. */
     private RetryOutcome cannotContinue(SendResult last, long retryAfterMs, String reason) {
         if (writer.hasBegun()) {
@@ -355,7 +366,8 @@
         attemptedRunners.retain(pool::isRegistered);
         if (attemptedRunners.remaining() <= 0) {
             for (Runner runner : attemptedRunners.counted()) {
-                if (!isExcluded(runner) && binding.allows(runner)) {
+                boolean mayRun = pool.isAvailable(runner) && binding.allows(runner);
+                if (mayRun && !isExcluded(runner)) {
                     return runner;
                 }
             }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerObserver.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RunnerObserver.java
@@ -5,6 +5,7 @@
 import org.skylarkmast.relay.http.RunnerAnswer;
 import org.skylarkmast.relay.limit.RunnerRateLimits;
 import org.skylarkmast.relay.limit.StatedRateLimit;
+import org.skylarkmast.relay.runner.LeavingSource;
 import org.skylarkmast.relay.runner.Runner;
 import org.skylarkmast.relay.runner.RunnerPool;
 import org.slf4j.Logger;
@@ -57,6 +58,21 @@
         waiting = true;
     }
 
+    /** An answer may be that of another runner that has got the address. */
+    @Override
+    public void headRead(RunnerAnswer answer) {
+        if (!dialect.reportsLeaving(answer.fields())) {
+            return;
+        }
+        String answeringId = dialect.answeringRunnerId(answer.fields()).orElse(runner.id());
+        if (answeringId.equals(runner.id()) && answer.status() != MISDIRECTED_REQUEST) {
+            pool.recordLeaving(
+                    runner.id(), runner.startedAtMs(), LeavingSource.ANSWER, request.requestId());
+        } else {
+            pool.recordOtherLeaving(answeringId, runner, request.requestId());
+        }
+    }
+
     @Override
     public void answered(RunnerAnswer answer) {
         contact.recordAnswer();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendObserver.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendObserver.java
@@ -22,6 +22,9 @@
     /** The request is about to be written. */
     default void sending() {}
 
+    /** The head of any answer was read, also of a late one to an earlier request. */
+    default void headRead(RunnerAnswer answer) {}
+
     /** The head of an answer to the request was read. */
     default void answered(RunnerAnswer answer) {}
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/WireDialect.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/WireDialect.java
@@ -38,6 +38,12 @@
     /** Whether the runner reports that it did not run the request. */
     boolean reportsNotRun(int status, HeaderFields runnerFields);
 
+    /** Whether the runner that answers says that it is leaving. */
+    boolean reportsLeaving(HeaderFields runnerFields);
+
+    /** Returns the id of the runner that answers, if the answer names it. */
+    Optional<String> answeringRunnerId(HeaderFields runnerFields);
+
     /** Returns the load that a runner reports with an answer. */
     Optional<RunnerLoad> reportedLoad(HeaderFields runnerFields);
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -85,7 +85,7 @@
     private final ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor();
     private final CurrentView views;
     private final PrometheusRegistry registry = new PrometheusRegistry();
-    private final RunnerDirectory directory = new RunnerDirectory();
+    private final RunnerDirectory directory = new RunnerDirectory(System::nanoTime, registry);
     private final RunnerConnectionPool runnerConnections = new RunnerConnectionPool();
     private final RunnerConnectionPool peerConnections = new RunnerConnectionPool();
     private final PeerDirectory peers = new PeerDirectory();
@@ -140,7 +140,7 @@
                         quarantine,
                         new RunnerCrashDetector(pool, RunnerProbe::refuses, registry),
                         () -> executor.execute(reportNow.get()),
-                        new PeerRelay(reachability, peers, peerConnections, dialect, timers),
+                        new PeerRelay(reachability, peers, pool, peerConnections, dialect, timers),
                         dialect,
                         ledger,
                         requestLog,
@@ -235,6 +235,10 @@
                 "skylarkmast_runners_limited",
                 "Runners that state a rate limit to this node.",
                 () -> admission.limits().limitedCount());
+        gauge(
+                "skylarkmast_leaving_runners_remembered",
+                "Runners that are remembered to be leaving by their answers.",
+                directory::leavingCount);
         gauge(
                 "skylarkmast_open_settlements",
                 "Settlements that no quorum of storage nodes has acknowledged.",
@@ -258,6 +262,7 @@
                             runnerConnections.evictUnusable(directory::isRegistered);
                             peerConnections.evictUnusable(process -> true);
                             pool.removeUnregistered();
+                            directory.expireLeaving();
                             admission.retain(directory::isRegistered);
                             quarantine.expire();
                         });
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
@@ -140,7 +140,34 @@
 
     /** Whether the runner is registered and accepts new requests. */
     public boolean isAvailable(Runner runner) {
-        return directory.available(runner.service()).contains(runner);
+        return directory.isAvailable(runner.incarnation());
+    }
+
+    /**
+     * Records that a runner said in an answer that it is leaving; see {@link
+     * RunnerDirectory#recordLeaving}.
+     */
+    public void recordLeaving(String id, long startedAtMs, LeavingSource source, String requestId) {
+        directory.recordLeaving(id, startedAtMs, source, requestId);
+    }
+
+    /**
+     * Records that another runner than the one addressed said that it is leaving, by the newest
+     * incarnation that is registered under its id or else at the address.
+     *
+     * @param answeringId id of the runner that answered, that of {@code addressed} if unknown
+     */
+    public void recordOtherLeaving(String answeringId, Runner addressed, String requestId) {
+        for (Runner other : directory.all()) {
+            boolean matches =
+                    answeringId.equals(addressed.id())
+                            ? other.address().equals(addressed.address())
+                            : other.id().equals(answeringId);
+            if (matches && !other.id().equals(addressed.id())) {
+                directory.recordLeaving(
+                        other.id(), other.startedAtMs(), LeavingSource.ANSWER, requestId);
+            }
+        }
     }
 
     /** Whether any eligible runner of {@code service} accepts new requests. */
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/forward/RunnerCrashDetectorTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/forward/RunnerCrashDetectorTest.java
@@ -25,7 +25,7 @@
     })
     void runnerThatAnnouncedItsEndHasNotCrashed(
             String registration, boolean refused, boolean crashed) {
-        RunnerDirectory directory = new RunnerDirectory();
+        RunnerDirectory directory = new RunnerDirectory(System::nanoTime, new PrometheusRegistry());
         if (!registration.equals("ended")) {
             directory.put(runner(registration.equals("draining")));
         }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetSimulation.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/runner/FleetSimulation.java
@@ -1,5 +1,6 @@
 package org.skylarkmast.relay.runner;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -45,7 +46,8 @@
             new PriorityQueue<>(Comparator.comparingDouble(Event::atMs));
     private final List<SimulatedRunner> simulatedRunners = new ArrayList<>();
     private final List<RunnerPool> pools = new ArrayList<>();
-    private final RunnerDirectory directory = new RunnerDirectory();
+    private final RunnerDirectory directory =
+            new RunnerDirectory(System::nanoTime, new PrometheusRegistry());
     private final LoadReportAggregator aggregator =
             new LoadReportAggregator(this::nowNs, new Random(1));
     private double nowMs;
