[relay] Let concurrent reservations of a program not deny each other

Change: BudgetRule orders the open reservations of a program by their attempts. A reservation that the budget would cover without those that give way to it stays and is read again for at most 30 ms; the others are withdrawn at once, as before. One that stays open though it should give way belongs to a turn that was granted before, and counts from the half of that time on. A reservation is still granted only if it fits beside all that are open, so the order decides who waits, never what is spent.

Ruled out: a third state (asked, granted) on the storage nodes: one more write for each turn, and storage nodes of the last release do not know it.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerClient.java
@@ -19,6 +19,9 @@
 
     private static final long RETRY_DELAY_MS = 40;
 
+    /** Pause before a program's reservations are read again while one of them is contended. */
+    private static final long CONTENTION_PAUSE_MS = 8;
+
     /** A settlement takes a few hundred bytes. */
     private static final int MAX_OUTSTANDING_SETTLEMENTS = 20_000;
 
@@ -26,6 +29,7 @@
     private final StorageNodeClient storageNodes;
     private final String nearbyAddressPrefix;
     private final ExecutorService executor;
+    private final long contentionWaitMs;
     private final QuorumCalls calls;
     private final SettlementQueue settlements;
     private final StorageNodeReachability reachability =
@@ -43,16 +47,20 @@
      * @param nearbyAddressPrefix address prefix of the storage nodes in this host's network; these
      *     are preferred for reads
      * @param executor runs the calls to storage nodes in parallel
+     * @param contentionWaitMs longest wait of a reservation for concurrent ones of its program that
+     *     are withdrawn
      */
     public LedgerClient(
             CurrentView views,
             StorageNodeClient storageNodes,
             String nearbyAddressPrefix,
-            ExecutorService executor) {
+            ExecutorService executor,
+            long contentionWaitMs) {
         this.views = views;
         this.storageNodes = storageNodes;
         this.nearbyAddressPrefix = nearbyAddressPrefix;
         this.executor = executor;
+        this.contentionWaitMs = contentionWaitMs;
         this.calls = new QuorumCalls(storageNodes, reachability, executor);
         this.settlements =
                 new SettlementQueue(
@@ -178,31 +186,12 @@
             // from
             // all the answers. A second read closes the gap: among concurrent reservations, the one
             // written last sees all others.
-            byte[] program = LedgerCodec.encode(out -> out.writeUTF(reservation.program()));
-            read =
-                    calls.callAll(
-                            view,
-                            LedgerOperation.USAGE,
-                            program,
-                            LedgerClient::readUsageReport,
-                            false);
+            read = readUsages(reservation.program(), view);
             if (read.size() < view.writeQuorum()) {
                 return unavailable;
             }
         }
-        return new ReserveResult(decide(reservation, read), resumedOrigins);
-    }
-
-    private static ReserveOutcome decide(Reservation reservation, List<UsageReport> reports) {
-        Set<String> ended = new HashSet<>();
-        reports.forEach(report -> ended.addAll(report.endedAttempts()));
-        BudgetRule.Decision decision =
-                BudgetRule.decide(
-                        reports.stream().map(UsageReport::usages).toList(),
-                        ended,
-                        reservation.attempt(),
-                        reservation.maxTokens(),
-                        reservation.budget());
+        BudgetRule.Decision decision = awaitWithdrawals(reservation, decide(reservation, read));
         ReserveOutcome outcome =
                 switch (decision.verdict()) {
                     case GRANTED -> ReserveOutcome.GRANTED;
@@ -212,7 +201,61 @@
         if (outcome != ReserveOutcome.GRANTED) {
             logDenied(reservation, decision);
         }
-        return outcome;
+        return new ReserveResult(outcome, resumedOrigins);
+    }
+
+    private List<UsageReport> readUsages(String program, LedgerView view)
+            throws InterruptedException {
+        byte[] body = LedgerCodec.encode(out -> out.writeUTF(program));
+        return calls.callAll(
+                view, LedgerOperation.USAGE, body, LedgerClient::readUsageReport, false);
+    }
+
+    /**
+     * Decides again on a reservation that others of its program deny, until it is granted or a
+     * limit has passed.
+     *
+     * <p>Reservations that are written at the same moment count each other, so each may be denied
+     * although some would fit. Those that have precedence stay and are read again, the others are
+     * withdrawn at once. A reservation is granted only if it fits beside all that are open, so the
+     * order decides who waits, not what is spent.
+     */
+    private BudgetRule.Decision awaitWithdrawals(Reservation reservation, BudgetRule.Decision first)
+            throws InterruptedException {
+        BudgetRule.Decision decision = first;
+        long startedNs = System.nanoTime();
+        while (decision.verdict() == BudgetRule.Verdict.HELD
+                && mayWait(decision.precedence(), startedNs)) {
+            Thread.sleep(CONTENTION_PAUSE_MS);
+            LedgerView view = views.current();
+            List<UsageReport> read = readUsages(reservation.program(), view);
+            if (view.members().isEmpty() || read.size() < view.writeQuorum()) {
+                break;
+            }
+            decision = decide(reservation, read);
+        }
+        return decision;
+    }
+
+    /** In the first half of the wait, others without precedence are expected to be withdrawn. */
+    private boolean mayWait(BudgetRule.Precedence precedence, long startedNs) {
+        long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs);
+        return switch (precedence) {
+            case FIRST -> waitedMs < contentionWaitMs;
+            case FIRST_IF_OTHERS_WITHDRAW -> waitedMs < contentionWaitMs / 2;
+            case NONE -> false;
+        };
+    }
+
+    private static BudgetRule.Decision decide(Reservation reservation, List<UsageReport> reports) {
+        Set<String> ended = new HashSet<>();
+        reports.forEach(report -> ended.addAll(report.endedAttempts()));
+        return BudgetRule.decide(
+                reports.stream().map(UsageReport::usages).toList(),
+                ended,
+                reservation.attempt(),
+                reservation.maxTokens(),
+                reservation.budget());
     }
 
     private static void logDenied(Reservation reservation, BudgetRule.Decision decision) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -53,6 +53,13 @@
     private static final int STORAGE_NODE_CONNECT_TIMEOUT_MS = 300;
     private static final int STORAGE_NODE_IDLE_CONNECTIONS = 16;
     private static final long SWEEP_MS = 300;
+
+    /**
+     * Longest wait of a reservation for concurrent ones of its program; a withdrawal takes a few
+     * milliseconds, and a request that is rejected should be soon.
+     */
+    private static final long CONTENTION_WAIT_MS = 30;
+
     private static final long DRAIN_POLL_MS = 20;
 
     /**
@@ -125,7 +132,13 @@
                         storageNodeConnections,
                         views::offer,
                         member -> ledgerClient().recordOtherProcess(member));
-        ledger = new LedgerClient(views, storageNodes, networkOf(settings.ip()), executor);
+        ledger =
+                new LedgerClient(
+                        views,
+                        storageNodes,
+                        networkOf(settings.ip()),
+                        executor,
+                        CONTENTION_WAIT_MS);
         SendAdmission admission = createAdmission(storageNodes);
         RunnerPool pool = createPool(admission);
         RunnerContact contact = new RunnerContact(System::nanoTime, registry);
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/ledger/BudgetRuleTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/ledger/BudgetRuleTest.java
@@ -71,6 +71,31 @@
                         BudgetRule.Verdict.EXHAUSTED));
     }
 
+    static Stream<Arguments> contenders() {
+        BudgetRule.Precedence none = BudgetRule.Precedence.NONE;
+        BudgetRule.Precedence ifWithdrawn = BudgetRule.Precedence.FIRST_IF_OTHERS_WITHDRAW;
+        BudgetRule.Precedence first = BudgetRule.Precedence.FIRST;
+        return Stream.of(
+                Arguments.of("sorts first, room for one", "0", 100, ifWithdrawn),
+                Arguments.of("sorts first, room for two", "0", 200, first),
+                Arguments.of("sorts between, room for one", "b5", 100, none),
+                Arguments.of("sorts between, room for two", "b5", 200, ifWithdrawn),
+                Arguments.of("sorts last, room for two", "z", 200, none),
+                Arguments.of("sorts first, no room", "0", 99, none),
+                Arguments.of("room for all", "b5", 300, first));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("contenders")
+    void firstContendersWaitForTheOthers(
+            String name, String attempt, long budget, BudgetRule.Precedence precedence) {
+        List<Usage> others = List.of(open("b", 100), open("c", 100), open("ended", 0));
+        assertThat(
+                        BudgetRule.decide(List.of(others), Set.of("ended"), attempt, 100, budget)
+                                .precedence())
+                .isEqualTo(precedence);
+    }
+
     @ParameterizedTest(name = "{0}")
     @MethodSource("cases")
     void decidesOnTheUnionOfAllReports(
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeBudgetTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeBudgetTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -13,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.skylarkmast.relay.ledger.LedgerClient;
 import org.skylarkmast.relay.ledger.Reservation;
@@ -80,6 +82,38 @@
         }
     }
 
+    /** Guards against sub-agents that deny each other what the budget would cover. */
+    @ParameterizedTest(name = "{0} storage nodes stopped, {1} fit")
+    @CsvSource({"0,1", "0,2", "0,5", "1,1", "1,2"})
+    void concurrentReservationsLeaveNothingThatTheBudgetCovers(int stopped, int fitting)
+            throws Exception {
+        try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
+            if (stopped > 0) {
+                cluster.stop("c");
+            }
+            long budget = fitting * 100L + 50;
+            CyclicBarrier start = new CyclicBarrier(8);
+            List<Callable<ReserveOutcome>> reservations = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                LedgerClient client = cluster.client();
+                String attempt = "r" + i;
+                reservations.add(
+                        () -> {
+                            start.await();
+                            return client.reserve(reservation(attempt, budget), TIMEOUT_MS)
+                                    .outcome();
+                        });
+            }
+            int granted = 0;
+            try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+                for (Future<ReserveOutcome> outcome : executor.invokeAll(reservations)) {
+                    granted += outcome.get() == ReserveOutcome.GRANTED ? 1 : 0;
+                }
+            }
+            assertThat(granted).isEqualTo(fitting);
+        }
+    }
+
     @Test
     void settlementThatNoQuorumTookIsRepeatedUntilOneDoes() throws Exception {
         try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeCluster.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeCluster.java
@@ -30,6 +30,9 @@
 
 /** In-process storage nodes, each with its own folder and port; the test runs the rounds. */
 final class StorageNodeCluster implements AutoCloseable {
+    /** Far longer than a withdrawal takes, so that it decides no test. */
+    private static final long CONTENTION_WAIT_MS = 4000;
+
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final int MIN_STORAGE_NODES = 2;
     private static final long BIND_TIMEOUT_NS = 20_000_000_000L;
@@ -268,7 +271,8 @@
                 clientViews,
                 new StorageNodeClient(new HttpClient(8, 300), clientViews::offer),
                 "127.",
-                Executors.newVirtualThreadPerTaskExecutor());
+                Executors.newVirtualThreadPerTaskExecutor(),
+                CONTENTION_WAIT_MS);
     }
 
     @Override
--- a/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
+++ b/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
@@ -154,7 +154,8 @@
                         views,
                         new StorageNodeClient(new HttpClient(4, 300), views::offer),
                         "127.",
-                        executor);
+                        executor,
+                        0);
         MirroredContent content = new MirroredContent();
         StoreMirror mirror = new StoreMirror(content, System::nanoTime);
         client = new MirrorClient(store, ALL, mirror, ledger);
