[relay] Run a storage node's retention and time limits on a steady clock

The only use of the time of day in the entry and storage nodes is RecordIndex: expiry of records and the time limits of reservations without a final count. Everything else runs on the monotonic clock, and what carries a time between nodes carries a remaining time.

Cause: a clock set forward by more than the margin of 5 s while a turn runs made its reservation count as ended at its most, so other turns of the program were told that the budget is spent (402 in place of 503); set back, the reservation of a dead attempt held the budget for longer. Records have 30 s of extra retention, so a jump of less than that lost none.

Change: SteadyTimeOfDay, the time of day at the start of the process advanced by the monotonic clock. After a restart the margins cover what clocks differ by (max_skew_ms is 5 to 8 s).

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
@@ -23,6 +23,7 @@
 import org.skylarkmast.relay.mirror.StoreMirror;
 import org.skylarkmast.relay.storage.QuorumMembership;
 import org.skylarkmast.relay.storage.RecordIndex;
+import org.skylarkmast.relay.storage.SteadyTimeOfDay;
 import org.skylarkmast.relay.storage.StorageNodeHandler;
 import org.skylarkmast.relay.storage.StorageNodeRegistry;
 import org.skylarkmast.relay.storage.ViewCoordinator;
@@ -80,7 +81,10 @@
         self =
                 new LedgerView.Member(
                         settings.node(), settings.ip() + ":" + settings.internalPort());
-        index = new RecordIndex(dataFolder.resolve("records"), System::currentTimeMillis);
+        index =
+                new RecordIndex(
+                        dataFolder.resolve("records"),
+                        new SteadyTimeOfDay(System::currentTimeMillis, System::nanoTime));
         membership = new QuorumMembership(self, dataFolder, views);
         storageNodes =
                 new StorageNodeClient(
