--- a/skylarkmast-http/src/main/java/org/skylarkmast/log/KeyValueLayout.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/log/KeyValueLayout.java
@@ -66,15 +66,13 @@
     }
 
     private static boolean needsQuotes(String value) {
-        return value.isEmpty()
-                || value.chars()
-                        .anyMatch(
-                                c ->
-                                        c <= ' '
-                                                || c == '"'
-                                                || c == '='
-                                                || c == '\\'
-                                                || Character.isISOControl(c));
+        for (int i = 0; i < value.length(); i++) {
+            char c = value.charAt(i);
+            if (c <= ' ' || c == '"' || c == '=' || c == '\\' || Character.isISOControl(c)) {
+                return true;
+            }
+        }
+        return value.isEmpty();
     }
 
     private static void appendQuoted(StringBuilder line, String value) {
