[relay] Serve turns through another entry node while storage nodes are out of reach

Cause: a node that reaches no runner passes whole requests on to another entry node, one that reaches no storage nodes did not.

Change: before anything is reserved, a request that needs the ledger is passed on in the same way if too few storage nodes answer and another entry node is known. That one answers 421 if it reaches too few as well, and the next is tried; if none serves it, the caller gets 503 with Retry-After as before. The node stays not ready, so that new callers go elsewhere.

Ruled out: passing on after a reservation without a quorum: it is withdrawn by a settlement of the same attempt, which would hide what the other node spends (BUDGET).

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/PeerRelay.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/PeerRelay.java
@@ -17,10 +17,11 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Passes callers' requests on to other entry nodes while this node reaches no runner; thread-safe.
+ * Passes callers' requests on to other entry nodes while this node reaches no runner, or too few
+ * storage nodes for them; thread-safe.
  *
- * <p>The other node serves the request as its own. It rejects it as misdirected if it reaches no
- * runner either or has an older configuration; a request is never passed on twice.
+ * <p>The other node serves the request as its own. It rejects it as misdirected if it is cut off as
+ * well or has an older configuration; a request is never passed on twice.
  */
 public final class PeerRelay {
     private static final Logger LOG = LoggerFactory.getLogger(PeerRelay.class);
@@ -81,6 +82,11 @@
      */
     record Relayed(SendResult result, String peer) {}
 
+    /** Whether another entry node is known that may serve requests of this one. */
+    boolean hasPeers() {
+        return !peers.isEmpty();
+    }
+
     /** Whether this node reaches no runner, so that its callers' requests need another node. */
     boolean isNeeded() {
         return reachability.isCutOff();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -24,6 +24,8 @@
     /** Answers from this status on hand no tokens to the caller. */
     private static final int LOWEST_STATUS_WITHOUT_TOKENS = 300;
 
+    private static final String NO_QUORUM = "no quorum of keepers";
+
     private final ForwardingContext context;
     private final CallerConnection caller;
     private final InboundRequest request;
@@ -116,9 +118,7 @@
                         this::hasEvents);
         if ((admission.needsLedger() || route.storesTurns())
                 && !context.ledger().awaitFirstQuorum(Forwarder.startupWaitMs(call))) {
-            Refusal refusal =
-                    Refusal.notRun(Forwarder.OTHER_NODE_RETRY_AFTER_MS, "no quorum of keepers");
-            return refuse(refusal, entry);
+            return serveWithoutLedger(entry);
         }
         Future<ChainOutcome> chain = startChain();
         Refusal refusal = null;
@@ -159,6 +159,19 @@
         return send(body, admission.needsTokens(), binding, entry);
     }
 
+    /**
+     * Lets another entry node serve a request that needs the ledger, as this one reaches too few
+     * storage nodes. Nothing of the request has been reserved or sent.
+     */
+    private boolean serveWithoutLedger(RequestLog.Entry entry) throws InterruptedException {
+        if (fromPeer) {
+            return refuse(Refusal.misdirected(NO_QUORUM), entry);
+        }
+        return context.peerRelay().hasPeers()
+                ? leaveToPeer(route.maxAttempts(), false, false, entry)
+                : refuse(Refusal.notRun(Forwarder.OTHER_NODE_RETRY_AFTER_MS, NO_QUORUM), entry);
+    }
+
     private boolean refuse(Refusal refusal, RequestLog.Entry entry) {
         return context.refusals()
                 .refuse(
@@ -297,7 +310,8 @@
                         if (reserved) {
                             settle(0);
                         }
-                        String reason = "no runner is reachable: " + notRun.reason();
+                        String cause = mayLeaveToPeer() ? "no runner is reachable" : NO_QUORUM;
+                        String reason = cause + ": " + notRun.reason();
                         yield mayHaveRun
                                 ? Refusal.mayHaveRun(reason)
                                 : Refusal.notRun(Forwarder.OTHER_NODE_RETRY_AFTER_MS, reason);
