[relay] Do not guess the version of a stream whose origin is not recorded

Change: the version comes from the ledger alone; without a record, or with two, the caller is told at once that nothing was run. RunnerDirectory no longer keeps versions by service.

Ruled out: the guess while the node's view of the store is fresh. The runners that began the stream may have left before.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestAdmission.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestAdmission.java
@@ -174,15 +174,9 @@
     }
 
     private Result bindToResumed(Set<StreamOrigin> origins) {
-        StreamOrigin origin = null;
-        if (origins.size() == 1) {
-            origin = origins.iterator().next();
-        } else if (!namesOrigin()) {
-            origin =
-                    pool.commonSoftwareVersion(service)
-                            .map(version -> new StreamOrigin(service, version))
-                            .orElse(null);
-        }
+        // The registered runners tell nothing: those that began the stream may have left, or this
+        // node may not have learned of them.
+        StreamOrigin origin = origins.size() == 1 ? origins.iterator().next() : null;
         if (origin == null || !route.sendsTo(origin.service())) {
             if (needsTokens()) {
                 ledger.settle(call.program(), call.requestId(), 0, route.retentionMs());
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerDirectory.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerDirectory.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -27,7 +26,6 @@
     private final LeavingRunners leaving;
     private final Map<String, Registration> registrations = new HashMap<>();
     private volatile Map<String, List<Runner>> availableByService = Map.of();
-    private volatile Map<String, Set<String>> versionsByService = Map.of();
     private volatile Set<String> incarnations = Set.of();
     private volatile Set<String> availableIncarnations = Set.of();
 
@@ -72,15 +70,6 @@
         return incarnations.contains(incarnation);
     }
 
-    /**
-     * Returns the software version of all registered runners of {@code service}, leaving or not;
-     * empty if there are none or they differ.
-     */
-    public Optional<String> commonSoftwareVersion(String service) {
-        Set<String> versions = versionsByService.getOrDefault(service, Set.of());
-        return versions.size() == 1 ? versions.stream().findFirst() : Optional.empty();
-    }
-
     /** Adds or replaces the registration of a runner. */
     public synchronized void put(Runner runner) {
         Registration previous = registrations.get(runner.id());
@@ -150,21 +139,17 @@
 
     private void rebuildIndexes() {
         Map<String, List<Runner>> byService = new HashMap<>();
-        Map<String, Set<String>> versions = new HashMap<>();
         Set<String> registered = new HashSet<>();
         Set<String> available = new HashSet<>();
         for (Registration registration : registrations.values()) {
             Runner runner = registration.runner();
             registered.add(runner.incarnation());
-            versions.computeIfAbsent(runner.service(), s -> new HashSet<>())
-                    .add(runner.softwareVersion());
             if (!runner.draining() && !leaving.contains(runner)) {
                 available.add(runner.incarnation());
                 byService.computeIfAbsent(runner.service(), s -> new ArrayList<>()).add(runner);
             }
         }
         availableByService = byService;
-        versionsByService = versions;
         incarnations = registered;
         availableIncarnations = available;
     }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/runner/RunnerPool.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -175,11 +174,6 @@
         return directory.available(service).stream().anyMatch(eligible);
     }
 
-    /** Returns the software version of all registered runners of a service, if it is the same. */
-    public Optional<String> commonSoftwareVersion(String service) {
-        return directory.commonSoftwareVersion(service);
-    }
-
     /** Whether the runner is still registered, draining or not. */
     public boolean isRegistered(Runner runner) {
         return directory.isRegistered(runner.incarnation());
