--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -1,6 +1,5 @@
 package org.skylarkmast.relay.node;
 
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.ServerSocket;
@@ -166,7 +165,9 @@
                 new CallerServer(peerListener, forwarder::servePeer, () -> PEER_LIMITS, timers);
         reportNow.set(logged("report_failed", createReporter(pool, admission)::report));
         startPeriodicTasks(pool, admission, reportNow.get());
-        registerGauges(admission);
+        new EntryNodeGauges(
+                        callerServer, runnerConnections, admission, directory, ledger, quarantine)
+                .register(registry);
         metricsServer = NodeEndpoints.start(settings.ip(), settings.metricsPort(), registry);
         readinessServer = startReadinessEndpoint(settings.readinessAddress());
         LOG.atInfo()
@@ -235,37 +236,6 @@
                 registry);
     }
 
-    private void registerGauges(SendAdmission admission) {
-        gauge(
-                "skylarkmast_caller_connections",
-                "Open connections of callers.",
-                callerServer::connectionCount);
-        gauge(
-                "skylarkmast_runner_connections_opened",
-                "Connections opened to runners.",
-                runnerConnections::openedCount);
-        gauge(
-                "skylarkmast_runners_limited",
-                "Runners that state a rate limit to this node.",
-                () -> admission.limits().limitedCount());
-        gauge(
-                "skylarkmast_leaving_runners_remembered",
-                "Runners that are remembered to be leaving by their answers.",
-                directory::leavingCount);
-        gauge(
-                "skylarkmast_open_settlements",
-                "Settlements that no quorum of storage nodes has acknowledged.",
-                ledger::outstandingSettlements);
-        gauge(
-                "skylarkmast_crash_suspects",
-                "Requests that were at a runner when it crashed.",
-                quarantine::suspectCount);
-        gauge(
-                "skylarkmast_quarantined_requests",
-                "Requests that are not sent to runners because runners crashed under them.",
-                quarantine::quarantinedCount);
-    }
-
     private void startPeriodicTasks(RunnerPool pool, SendAdmission admission, Runnable report) {
         Runnable housekeeping =
                 logged(
@@ -461,14 +431,6 @@
         return callerServer.connectionCount() + peerServer.connectionCount();
     }
 
-    private void gauge(String name, String help, java.util.function.LongSupplier value) {
-        GaugeWithCallback.builder()
-                .name(name)
-                .help(help)
-                .callback(callback -> callback.call((double) value.getAsLong()))
-                .register(registry);
-    }
-
     /**
      * Returns the address prefix of the failure domain: its hosts share the first two numbers of
      * their addresses.
