[relay] Reject requests at once for a while after no other entry node took one

Change: after a request that no other node took, further ones are rejected at once for 500 ms, then one more is tried. The path of a node that reaches no runner is as it was.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/PeerRelay.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/PeerRelay.java
@@ -4,6 +4,8 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.skylarkmast.relay.http.HeaderFields;
 import org.skylarkmast.relay.http.RunnerAnswer;
 import org.skylarkmast.relay.http.RunnerConnectionPool;
@@ -50,6 +52,12 @@
                     MAY_HAVE_RUN.toLowerCase(Locale.ROOT),
                     CONFIGURATION.toLowerCase(Locale.ROOT));
 
+    /**
+     * Time for which requests are rejected at once after no other node took one: this node may be
+     * cut off from them as well, and each attempt to connect takes its time.
+     */
+    private static final long UNSERVED_PAUSE_MS = 500;
+
     /** Maximum number of nodes that are tried for a request. */
     private static final int MAX_PEERS = 3;
 
@@ -57,10 +65,14 @@
     private final PeerDirectory peers;
     private final RunnerPool pool;
     private final RequestSender sender;
+    private final LongSupplier clockNs;
+    private volatile boolean unserved;
+    private volatile long unservedSinceNs;
 
     /**
      * @param pool told of the runners that other nodes report to be leaving
      * @param connections connections to other entry nodes
+     * @param clockNs monotonic clock, in ns
      */
     public PeerRelay(
             RunnerReachability reachability,
@@ -68,7 +80,9 @@
             RunnerPool pool,
             RunnerConnectionPool connections,
             WireDialect dialect,
-            ScheduledExecutorService timers) {
+            ScheduledExecutorService timers,
+            LongSupplier clockNs) {
+        this.clockNs = clockNs;
         this.reachability = reachability;
         this.peers = peers;
         this.pool = pool;
@@ -82,9 +96,16 @@
      */
     record Relayed(SendResult result, String peer) {}
 
-    /** Whether another entry node is known that may serve requests of this one. */
+    /**
+     * Whether another entry node is known that may serve requests of this one, and one of them has
+     * taken the last request or is due for another attempt.
+     */
     boolean hasPeers() {
-        return !peers.isEmpty();
+        boolean pauses =
+                unserved
+                        && clockNs.getAsLong() - unservedSinceNs
+                                < TimeUnit.MILLISECONDS.toNanos(UNSERVED_PAUSE_MS);
+        return !peers.isEmpty() && !pauses;
     }
 
     /** Whether this node reaches no runner, so that its callers' requests need another node. */
@@ -133,6 +154,8 @@
                     .addKeyValue("reason", notRun.reason())
                     .log();
         }
+        unservedSinceNs = clockNs.getAsLong();
+        unserved = result instanceof SendResult.NotRun && !exchange.isCancelled();
         return new Relayed(result, lastPeer);
     }
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -152,7 +152,7 @@
                         quarantine,
                         new RunnerCrashDetector(pool, RunnerProbe::refuses, registry),
                         () -> executor.execute(reportNow.get()),
-                        new PeerRelay(reachability, peers, pool, peerConnections, dialect, timers),
+                        createPeerRelay(pool, dialect),
                         dialect,
                         ledger,
                         requestLog,
@@ -206,6 +206,11 @@
                 registry);
     }
 
+    private PeerRelay createPeerRelay(RunnerPool pool, WireDialect dialect) {
+        return new PeerRelay(
+                reachability, peers, pool, peerConnections, dialect, timers, System::nanoTime);
+    }
+
     private LoadReporter createReporter(RunnerPool pool, SendAdmission admission) {
         return new LoadReporter(
                 settings.node() + "/" + System.nanoTime(),
