[relay] Do not write an error into a stream that has begun

Cause: RequestSender.relayAnswer wrote every answer but a 200 through AnswerWriter.writeComplete, which writes a head whether or not one has been written. An answer longer than 256 KB, and a 200 in another content encoding, were written as chunks of the stream. Ruled out: a late or crossed answer (the 500 carries the request's id and is the answer to the last send) and the runner's own end (neither runner broke off).

Change: what continues a stream must have the status and the content encoding of the head that was written. Any other answer is the result NotContinued: nothing of it is written, the runner is excluded, and the stream goes on elsewhere within its attempts, or is broken off. AnswerWriter refuses a second head. A line stream_not_continued names the request, the event after which it stopped and the status.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/AnswerWriter.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/AnswerWriter.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.List;
+import java.util.Objects;
 import java.util.function.BooleanSupplier;
 import org.skylarkmast.relay.http.CallerConnection;
 import org.skylarkmast.relay.http.Framing;
@@ -12,6 +13,8 @@
 
 /** Writes a runner's answer to the caller and records what was written. Confined to one thread. */
 final class AnswerWriter {
+    private static final String CONTENT_ENCODING = "Content-Encoding";
+
     private final CallerConnection caller;
     private final BooleanSupplier closeAfterAnswer;
     private final int tokensPerEvent;
@@ -20,6 +23,8 @@
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private Runner runner;
     private boolean hasBegun;
+    private int status;
+    private String contentEncoding;
     private boolean closesConnection;
     private boolean isComplete;
     private String lastEventId = "";
@@ -62,6 +67,15 @@
         return hasBegun;
     }
 
+    /**
+     * Whether {@code answer} may supply the next part of the answer that has begun: a runner that
+     * cannot continue a stream answers with an error, whose bytes are no part of it.
+     */
+    boolean isContinuedBy(RunnerAnswer answer) {
+        return answer.status() == status
+                && Objects.equals(answer.fields().first(CONTENT_ENCODING), contentEncoding);
+    }
+
     /** Whether the answer announced that the connection closes after it. */
     boolean closesConnection() {
         return closesConnection;
@@ -103,6 +117,9 @@
     }
 
     void writeComplete(RunnerAnswer answer, byte[] body) throws IOException {
+        if (hasBegun) {
+            throw new IllegalStateException("the caller has got the head of another answer");
+        }
         runnerFraming = answer.framing().label();
         hasBegun = true;
         closesConnection = closeAfterAnswer.getAsBoolean();
@@ -115,6 +132,8 @@
         runnerFraming = answer.framing().label();
         if (!hasBegun) {
             hasBegun = true;
+            status = answer.status();
+            contentEncoding = answer.fields().first(CONTENT_ENCODING);
             closesConnection = closeAfterAnswer.getAsBoolean();
             caller.beginStream(answer.status(), fieldsToWrite(answer), closesConnection);
         }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -327,6 +327,7 @@
                         yield null;
                     }
                     case SendResult.BrokenOff brokenOff -> null;
+                    case SendResult.NotContinued notContinued -> null;
                     case SendResult.CallerLost lost -> null;
                 };
         return finish(new RetryOutcome(relayed.result(), refusal), writer, entry);
@@ -362,6 +363,8 @@
             }
             case SendResult.CallerLost lost -> abortCaller("caller_lost", lost.reason(), entry);
             case SendResult.BrokenOff broken -> abortCaller("broken_off", broken.reason(), entry);
+            case SendResult.NotContinued notContinued ->
+                    abortCaller("broken_off", notContinued.reason(), entry);
             case SendResult.MayHaveRun broken -> abortCaller("broken_off", broken.reason(), entry);
             case SendResult.NotRun notRun -> abortCaller("broken_off", notRun.reason(), entry);
         };
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
@@ -268,6 +268,15 @@
             RunnerAnswer answer,
             AnswerWriter writer)
             throws IOException, InterruptedException {
+        if (writer.hasBegun() && !writer.isContinuedBy(answer)) {
+            LOG.atInfo()
+                    .addKeyValue("event", "stream_not_continued")
+                    .addKeyValue("request", request.requestId())
+                    .addKeyValue("afterEvent", writer.lastEventId())
+                    .addKeyValue("status", answer.status())
+                    .log();
+            return new SendResult.NotContinued(answer.status());
+        }
         InputStream body = connection.body(answer);
         if (request.stream() && answer.status() == 200) {
             return relayEvents(request, body, answer, writer);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RetryLoop.java
@@ -312,6 +312,11 @@
                                 ? timeoutRefusal(mayHaveRun)
                                 : Refusal.mayHaveRun(mayHaveRun.reason()));
             }
+            case SendResult.NotContinued notContinued -> {
+                attemptedRunners.add(runner);
+                excludedIncarnations.add(runner.incarnation());
+                yield tryConsumeRetry() ? null : new RetryOutcome(notContinued, null);
+            }
             case SendResult.BrokenOff brokenOff -> {
                 attemptedRunners.add(runner);
                 boolean resumes = tryConsumeRetry() && !writer.lastEventId().isEmpty();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendResult.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SendResult.java
@@ -19,6 +19,19 @@
     /** The answer was interrupted after part of it was written to the caller. */
     record BrokenOff(String reason) implements SendResult {}
 
+    /**
+     * A stream of which part was written was to be continued, but the runner's answer was not its
+     * next part. Nothing of that answer was written to the caller.
+     *
+     * @param status status of that answer
+     */
+    record NotContinued(int status) implements SendResult {
+
+        String reason() {
+            return "runner answered " + status + " to the continuation of a stream";
+        }
+    }
+
     /** The caller disconnected or stopped reading. */
     record CallerLost(String reason) implements SendResult {}
 }
