[relay] Go on following the store after an entry that cannot be applied

Callers saw: another writer's entry among those of the runners, whose slots is a number over 32 bits, kept every node from learning of any later change.

Cause: JsonValue.asInt threw ArithmeticException, which StoreChangeListener does not take for an unreadable entry; it ended the thread of StoreFollower in every storage node (Exception in thread "store-follower"). StoreFollower.connected stayed true, so entry nodes were told that they were up to date and never read the store themselves.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
@@ -50,18 +50,15 @@
      * Opens a connection.
      *
      * @param address {@code host:port}
-     * @throws IOException if the connection is not established within {@code timeoutMs}
+     * @throws IOException if the connection is not established within {@code timeoutMs}, or the
+     *     address is not of that form
      */
     public static RunnerConnection open(String address, int timeoutMs) throws IOException {
-        int colon = address.lastIndexOf(':');
+        InetSocketAddress destination = parseAddress(address);
         Socket socket = new Socket();
         try {
             socket.setTcpNoDelay(true);
-            socket.connect(
-                    new InetSocketAddress(
-                            address.substring(0, colon),
-                            Integer.parseInt(address.substring(colon + 1))),
-                    timeoutMs);
+            socket.connect(destination, timeoutMs);
             return new RunnerConnection(socket);
         } catch (IOException e) {
             socket.close();
@@ -69,6 +66,17 @@
         }
     }
 
+    private static InetSocketAddress parseAddress(String address) throws IOException {
+        int colon = address.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(
+                    address.substring(0, Math.max(0, colon)),
+                    Integer.parseInt(address.substring(colon + 1)));
+        } catch (IllegalArgumentException e) {
+            throw new IOException("not an address of the form host:port: " + address, e);
+        }
+    }
+
     /** Writes a complete request. */
     public void send(String method, String target, HeaderFields fields, byte[] body)
             throws IOException {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreFollower.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreFollower.java
@@ -13,7 +13,7 @@
 
 /**
  * Follows a range of keys of the store: reads it, watches it for changes, and reads it again when
- * the watch is lost.
+ * the watch is lost or the listener fails.
  *
  * <p>All calls of the listener come from one thread.
  */
@@ -58,7 +58,7 @@
         this.thread = Thread.ofVirtual().name("store-follower").start(this::run);
     }
 
-    /** Whether the range was read and its watch is not known to be lost. */
+    /** Whether the listener has received the range and its watch is not known to be lost. */
     public boolean connected() {
         return connected;
     }
@@ -71,7 +71,12 @@
     private void run() {
         try {
             while (!Thread.currentThread().isInterrupted()) {
-                readAndWatch();
+                try {
+                    readAndWatch();
+                } catch (RuntimeException e) {
+                    LOG.atError().addKeyValue("event", "store_follow_failed").setCause(e).log();
+                    Thread.sleep(MAX_RETRY_MS);
+                }
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -103,19 +108,17 @@
                 .addKeyValue("entries", range.entries().size())
                 .addKeyValue("afterOutage", outage)
                 .log();
-        connected = true;
         listener.rangeRead(range, outage);
+        connected = true;
         // A new queue for each watch, so that late events of an earlier one are not mixed in.
         LinkedBlockingQueue<WatchEvent> events = new LinkedBlockingQueue<>();
-        Watch watch = store.watch(fromKey, toKey, range.revision() + 1, events::add);
-        try {
+        try (Watch _ = store.watch(fromKey, toKey, range.revision() + 1, events::add)) {
             while (handleNext(events)) {
                 listener.tick();
             }
         } finally {
-            watch.close();
+            connected = false;
         }
-        connected = false;
     }
 
     /** Handles the next event, if any; returns false once the watch is lost. */
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreMirror.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreMirror.java
@@ -229,7 +229,7 @@
             entries.put(entry.key(), entry);
             removalRevisions.remove(entry.key());
             keptUntilNs.remove(entry.key());
-            listener.written(entry);
+            apply(entry.key(), entry.modRevision(), () -> listener.written(entry));
         }
     }
 
@@ -242,7 +242,21 @@
         removalRevisions.put(key, previous == null ? atRevision : Math.max(previous, atRevision));
         keptUntilNs.remove(key);
         if (entries.remove(key) != null) {
-            listener.removed(key);
+            apply(key, atRevision, () -> listener.removed(key));
+        }
+    }
+
+    /** Has the listener apply a change; one that it cannot apply must not keep others from it. */
+    private static void apply(String key, long atRevision, Runnable change) {
+        try {
+            change.run();
+        } catch (RuntimeException e) {
+            LOG.atError()
+                    .addKeyValue("event", "store_change_not_applied")
+                    .addKeyValue("key", key)
+                    .addKeyValue("revision", atRevision)
+                    .setCause(e)
+                    .log();
         }
     }
 
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/mirror/StoreMirrorTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/mirror/StoreMirrorTest.java
@@ -8,8 +8,12 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.skylarkmast.core.store.RangeResult;
 import org.skylarkmast.core.store.StoreEntry;
@@ -17,6 +21,10 @@
 
 /** Tests the content of mirrors after reads, watch events and merges in any order. */
 class StoreMirrorTest {
+
+    /** Prefix of keys of which the listener can apply no change. */
+    private static final String REFUSED = "refused";
+
     private long nowMs;
 
     /** A mirror and the content that its listener received. */
@@ -28,12 +36,18 @@
 
         @Override
         public void written(StoreEntry entry) {
+            if (entry.key().startsWith(REFUSED)) {
+                throw new IllegalStateException("failure under test");
+            }
             Long previous = held.put(entry.key(), entry.modRevision());
             assertThat(previous == null || previous < entry.modRevision()).isTrue();
         }
 
         @Override
         public void removed(String key) {
+            if (key.startsWith(REFUSED)) {
+                throw new IllegalStateException("failure under test");
+            }
             held.remove(key);
         }
 
@@ -117,6 +131,57 @@
         assertThat(observed.held).containsExactly("a", 1L);
     }
 
+    static Stream<Arguments> sources() {
+        StoreEntry[] written = {entry("a", 1), entry("refused", 2), entry("z", 3)};
+        MirrorChanges.Removed[] removed = {
+            new MirrorChanges.Removed("a", 4),
+            new MirrorChanges.Removed("refused", 5),
+            new MirrorChanges.Removed("z", 6)
+        };
+        return Stream.of(
+                Arguments.of(
+                        "read",
+                        (Consumer<ObservedMirror>) observed -> observed.read(3, false, written),
+                        (Consumer<ObservedMirror>) observed -> observed.read(6, false)),
+                Arguments.of(
+                        "watch",
+                        (Consumer<ObservedMirror>)
+                                observed -> List.of(written).forEach(observed.mirror::written),
+                        (Consumer<ObservedMirror>)
+                                observed ->
+                                        List.of(removed)
+                                                .forEach(
+                                                        key ->
+                                                                observed.mirror.removed(
+                                                                        key.key(),
+                                                                        key.revision()))),
+                Arguments.of(
+                        "changes",
+                        merging(new MirrorChanges(3, false, true, List.of(written), List.of())),
+                        merging(new MirrorChanges(6, false, true, List.of(), List.of(removed)))),
+                Arguments.of(
+                        "snapshot",
+                        merging(new MirrorChanges(3, true, true, List.of(written), List.of())),
+                        merging(new MirrorChanges(6, true, true, List.of(), List.of()))));
+    }
+
+    private static Consumer<ObservedMirror> merging(MirrorChanges changes) {
+        return observed -> observed.mirror.merge(changes);
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("sources")
+    void changeThatCannotBeAppliedDoesNotKeepOthersFromBeingApplied(
+            String source, Consumer<ObservedMirror> write, Consumer<ObservedMirror> remove) {
+        ObservedMirror observed = new ObservedMirror();
+        write.accept(observed);
+        assertThat(observed.held).containsExactly("a", 1L, "z", 3L);
+        assertThat(observed.mirror.revision()).isEqualTo(3);
+        remove.accept(observed);
+        assertThat(observed.held).isEmpty();
+        assertThat(observed.mirror.revision()).isEqualTo(6);
+    }
+
     @Test
     void sendsNoContentBeforeTheFirstRead() {
         ObservedMirror sender = new ObservedMirror();
