[relay] Send no request twice on one connection

A runner that rejects it as full adds a late second copy of that rejection; the request comes back on the same connection, the copy is taken for the answer to the new send, and the request is sent to another runner while this one runs it.

Cause: RequestSender tells late answers from the expected one by the request's id. That cannot tell two answers to one request apart, and the pool hands out the connection that came back last.

Change: an exchange remembers the connections that have carried it, and the pool leaves them to other requests, which skip a late copy by its id. Why it works: answers to an earlier send can only arrive on its connection.

Related paths: a stream that goes on elsewhere has the same id, by the same rule; requests passed on to another entry node are sent to each node once; callers' later attempts have ids of their own.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Exchange.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Exchange.java
@@ -1,5 +1,7 @@
 package org.skylarkmast.relay.forward;
 
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.skylarkmast.relay.http.CallerConnection;
 import org.skylarkmast.relay.http.RunnerConnection;
@@ -13,6 +15,7 @@
 final class Exchange {
     private final CallerConnection caller;
     private final long deadlineNs;
+    private final Set<RunnerConnection> usedConnections = new HashSet<>();
     private RunnerConnection runnerConnection;
     private boolean callerDisconnected;
     private boolean expired;
@@ -78,9 +81,18 @@
      */
     synchronized boolean attach(RunnerConnection connection) {
         runnerConnection = connection;
+        usedConnections.add(connection);
         return !callerDisconnected && !expired;
     }
 
+    /**
+     * Whether the request may be sent on {@code connection}: on one that has carried it, a late
+     * copy of the answer to the earlier send could not be told from the answer to the next one.
+     */
+    synchronized boolean maySendOn(RunnerConnection connection) {
+        return !usedConnections.contains(connection);
+    }
+
     /** Detaches the runner connection, which cancellation then no longer aborts. */
     synchronized void detach() {
         runnerConnection = null;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
@@ -139,7 +139,10 @@
             int timeoutMs = Math.clamp(exchange.remainingMs(), 1, CONNECT_TIMEOUT_MS);
             RunnerConnectionPool.AcquiredConnection acquired =
                     connections.acquire(
-                            destination.connectionKey(), destination.address(), timeoutMs);
+                            destination.connectionKey(),
+                            destination.address(),
+                            timeoutMs,
+                            exchange::maySendOn);
             observer.connected(acquired.reused());
             return acquired;
         } catch (IOException e) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnectionPool.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnectionPool.java
@@ -3,9 +3,11 @@
 import java.io.IOException;
 import java.util.Deque;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 
 /** A pool of idle connections, one queue per runner. Thread-safe. */
 public final class RunnerConnectionPool implements AutoCloseable {
@@ -34,13 +36,18 @@
      * Returns an idle connection, or opens a new one.
      *
      * @param runnerId identity of the runner; a connection is never reused for another identity
+     * @param mayReuse whether an idle connection may be used; one that may not stays in the pool
      * @throws IOException if no connection can be opened; nothing has been sent in that case
      */
-    public AcquiredConnection acquire(String runnerId, String address, int connectTimeoutMs)
+    public AcquiredConnection acquire(
+            String runnerId,
+            String address,
+            int connectTimeoutMs,
+            Predicate<RunnerConnection> mayReuse)
             throws IOException {
         Deque<Idle> idle = idleByRunner.get(runnerId);
         while (idle != null) {
-            Idle candidate = idle.pollFirst();
+            Idle candidate = pollFirst(idle, mayReuse);
             if (candidate == null) {
                 break;
             }
@@ -54,6 +61,20 @@
         return new AcquiredConnection(RunnerConnection.open(address, connectTimeoutMs), false);
     }
 
+    /** Removes and returns the first connection that may be used, or null if there is none. */
+    private static Idle pollFirst(Deque<Idle> idle, Predicate<RunnerConnection> mayReuse) {
+        while (true) {
+            Optional<Idle> first =
+                    idle.stream()
+                            .filter(candidate -> mayReuse.test(candidate.connection()))
+                            .findFirst();
+            // Another thread may have taken it in the meantime.
+            if (first.isEmpty() || idle.remove(first.get())) {
+                return first.orElse(null);
+            }
+        }
+    }
+
     /** Returns a connection to the pool once {@code answer} has been read completely. */
     public void release(String runnerId, RunnerConnection connection, RunnerAnswer answer) {
         long keepAliveMs = answer.keepAliveMs(DEFAULT_KEEP_ALIVE_MS + KEEP_ALIVE_MARGIN_MS);
@@ -73,7 +94,7 @@
     }
 
     /** Closes idle connections that expired, broke, or belong to runners no longer registered. */
-    public void evictUnusable(java.util.function.Predicate<String> isRegistered) {
+    public void evictUnusable(Predicate<String> isRegistered) {
         long nowNs = System.nanoTime();
         idleByRunner.forEach(
                 (runnerId, idle) -> {
