[relay] Bound what a node holds of all runners' answers together

Callers saw (in a test, after other operators' report): a runner answers 400 requests at one entry node with bytes that go on slowly without end; the node runs out of its heap of 56 MB, and requests of other callers fail.

Cause: each answer was bounded (a head to 64 KB, its held-back part to 256 KB, trailers to 200 lines of 8 KB), their sum was not. Ruled out: events (64 KB each) and many small fields, both of which hold with 400 requests.

Change: heads of runners have at most 16 KB and all trailers of an answer 8 KB; what is held back of all answers beyond 8 KB each is at most 5 MB, and an answer that gets no more is written as it arrives.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
@@ -1,10 +1,12 @@
 package org.skylarkmast.relay.forward;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.skylarkmast.relay.http.Framing;
 import org.skylarkmast.relay.http.HeaderFields;
@@ -34,6 +36,12 @@
      */
     private static final int MAX_BUFFERED_BYTES = 256 << 10;
 
+    /**
+     * Maximum number of blocks of {@link #BUFFER_BYTES} by which all such answers together exceed
+     * their first block; the rest of an answer that gets no more is written as it arrives.
+     */
+    private static final int MAX_BUFFERED_BLOCKS = 640;
+
     /** Maximum number of answers to other requests that are skipped on a connection. */
     private static final int MAX_STRAY_ANSWERS = 3;
 
@@ -46,6 +54,7 @@
     private final FieldsTranslation translation;
     private final WireDialect dialect;
     private final ScheduledExecutorService timers;
+    private final Semaphore freeBlocks = new Semaphore(MAX_BUFFERED_BLOCKS);
 
     /** Returns the fields of a request as they are sent, from those of the caller. */
     @FunctionalInterface
@@ -284,18 +293,10 @@
         if (request.stream() && answer.status() == 200) {
             return relayEvents(request, body, answer, writer);
         }
-        byte[] buffered = body.readNBytes(MAX_BUFFERED_BYTES);
-        if (buffered.length < MAX_BUFFERED_BYTES) {
-            try {
-                writer.writeComplete(answer, buffered);
-            } catch (IOException e) {
-                throw new CallerWriteException(e);
-            }
+        if (relayStart(body, answer, writer)) {
             return new SendResult.Delivered(answer.status());
         }
         byte[] buffer = new byte[BUFFER_BYTES];
-        writeToCaller(() -> writer.beginStream(answer));
-        writeToCaller(() -> writer.writeChunk(buffered, buffered.length));
         for (int n = body.read(buffer); n >= 0; n = body.read(buffer)) {
             int length = n;
             writeToCaller(() -> writer.writeChunk(buffer, length));
@@ -304,6 +305,39 @@
         return new SendResult.Delivered(answer.status());
     }
 
+    /**
+     * Buffers an answer and writes it when it is complete; one that is too long for that is begun
+     * with what was buffered.
+     *
+     * @return whether the answer is complete
+     */
+    private boolean relayStart(InputStream body, RunnerAnswer answer, AnswerWriter writer)
+            throws IOException {
+        int heldBlocks = 0;
+        try {
+            ByteArrayOutputStream start = new ByteArrayOutputStream();
+            byte[] block = body.readNBytes(BUFFER_BYTES);
+            start.writeBytes(block);
+            while (block.length == BUFFER_BYTES
+                    && start.size() < MAX_BUFFERED_BYTES
+                    && freeBlocks.tryAcquire()) {
+                heldBlocks++;
+                block = body.readNBytes(BUFFER_BYTES);
+                start.writeBytes(block);
+            }
+            byte[] buffered = start.toByteArray();
+            if (block.length < BUFFER_BYTES) {
+                writeToCaller(() -> writer.writeComplete(answer, buffered));
+                return true;
+            }
+            writeToCaller(() -> writer.beginStream(answer));
+            writeToCaller(() -> writer.writeChunk(buffered, buffered.length));
+            return false;
+        } finally {
+            freeBlocks.release(heldBlocks);
+        }
+    }
+
     private SendResult relayEvents(
             OutboundRequest request, InputStream body, RunnerAnswer answer, AnswerWriter writer)
             throws IOException, InterruptedException {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/ReadAheadInput.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/ReadAheadInput.java
@@ -19,9 +19,10 @@
     private static final int BUFFER_BYTES = 8192;
 
     /**
-     * Maximum length of a line after the head: a chunk's size with its extensions, or a trailer.
+     * Maximum length of the lines that follow one another after the head: a chunk's size with its
+     * extensions, or all trailers.
      */
-    private static final int MAX_BODY_LINE_BYTES = 8192;
+    private static final int MAX_BODY_LINES_BYTES = 8192;
 
     private final InputStream socketInput;
     private final int maxHeadBytes;
@@ -34,6 +35,7 @@
     private CompletableFuture<Integer> readAhead;
     private boolean inHead;
     private int headBytes;
+    private int bodyLinesBytes;
 
     /**
      * @param maxHeadBytes maximum size of a message head in bytes
@@ -49,6 +51,7 @@
     void beginHead() {
         inHead = true;
         headBytes = 0;
+        bodyLinesBytes = 0;
     }
 
     /** Stops counting head bytes; later lines belong to the body. */
@@ -133,6 +136,7 @@
         if (position >= limit && fill() < 0) {
             return -1;
         }
+        bodyLinesBytes = 0;
         int count = Math.min(length, limit - position);
         System.arraycopy(buffer, position, target, offset, count);
         position += count;
@@ -165,11 +169,7 @@
                 }
                 return -1;
             }
-            countHeadByte();
-            if (!inHead && line.length() - start >= MAX_BODY_LINE_BYTES) {
-                throw new MalformedMessageException(
-                        "line of a body is longer than " + MAX_BODY_LINE_BYTES + " bytes");
-            }
+            countLineByte();
             if (next == '\n') {
                 if (!afterCarriageReturn && requireCrLf) {
                     throw new MalformedMessageException("line feed without carriage return");
@@ -189,9 +189,14 @@
         return line.length() - start;
     }
 
-    private void countHeadByte() throws HeadTooLargeException {
-        if (inHead && ++headBytes > maxHeadBytes) {
-            throw new HeadTooLargeException(maxHeadBytes);
+    private void countLineByte() throws HeadTooLargeException, MalformedMessageException {
+        if (inHead) {
+            if (++headBytes > maxHeadBytes) {
+                throw new HeadTooLargeException(maxHeadBytes);
+            }
+        } else if (++bodyLinesBytes > MAX_BODY_LINES_BYTES) {
+            throw new MalformedMessageException(
+                    "lines of a body are longer than " + MAX_BODY_LINES_BYTES + " bytes");
         }
     }
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
@@ -25,7 +25,7 @@
  * <p>Not thread-safe: one thread owns it. {@link #abort} may be called by any thread.
  */
 public final class RunnerConnection {
-    private static final int MAX_HEAD_BYTES = 65_536;
+    private static final int MAX_HEAD_BYTES = 16_384;
 
     /** Maximum number of interim answers before a final one. */
     private static final int MAX_INTERIM_ANSWERS = 8;
