[relay] Keep missing runners only after an outage in which entries may expire

Cause: a runner whose entry is missing after an outage of the store is kept for 2 s, since its entry may have expired while it lives. One failed read counted as an outage. Kept for 2 s beside the time to notice, that is past the bound within which a leaving runner gets nothing new.

Change: ReadOutage measures how long reads have failed; keys are kept if that was 1 s or more (an owner renews its key about every second and misses several renewals before it expires), and an entry node's outage ends when a storage node that is up to date has told it what was removed.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
@@ -48,11 +48,11 @@
     private final KeyRange keys;
     private final StoreMirror mirror;
     private final LedgerClient ledger;
+    private final ReadOutage outage = new ReadOutage(System::nanoTime);
     private final Thread thread;
     private long upToDateNs;
     private long lastReadNs;
     private long readPauseMs;
-    private boolean outage;
 
     /** Whether a storage node connected to the service answered the last poll. */
     private boolean relayed;
@@ -125,9 +125,14 @@
             return false;
         }
         mirror.merge(changes);
+        boolean upToDate = changes.upToDate();
+        if (upToDate) {
+            // The storage node has kept what an outage let expire; it tells what was removed since.
+            var _ = outage.end();
+        }
         // If the storage node is not connected to the service, the next update reads it directly.
-        upToDateNs = changes.upToDate() ? System.nanoTime() : 0;
-        logRelayedChange(changes.upToDate(), "storage node not connected to the service");
+        upToDateNs = upToDate ? System.nanoTime() : 0;
+        logRelayedChange(upToDate, "storage node not connected to the service");
         return true;
     }
 
@@ -135,14 +140,15 @@
         lastReadNs = System.nanoTime();
         switch (store.range(keys.from(), keys.to(), 0)) {
             case StoreOutcome.Done<RangeResult> done -> {
-                mirror.rangeRead(done.value(), outage);
-                outage = false;
+                boolean afterOutage = outage.end();
+                mirror.rangeRead(done.value(), afterOutage);
                 upToDateNs = System.nanoTime();
                 readPauseMs = READ_PAUSE_MS;
                 LOG.atInfo()
                         .addKeyValue("event", "store_read")
                         .addKeyValue("revision", done.value().revision())
                         .addKeyValue("entries", done.value().entries().size())
+                        .addKeyValue("afterOutage", afterOutage)
                         .log();
             }
             case StoreOutcome.NotApplied<RangeResult> failed -> readFailed(failed.reason());
@@ -151,10 +157,9 @@
     }
 
     private void readFailed(String reason) {
-        if (!outage) {
+        if (outage.readFailed()) {
             LOG.atWarn().addKeyValue("event", "store_lost").addKeyValue("reason", reason).log();
         }
-        outage = true;
         // A node without any content cannot serve requests, so it retries in quick succession.
         boolean hasContent = mirror.revision() > 0;
         readPauseMs =
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreFollower.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreFollower.java
@@ -35,7 +35,8 @@
         /**
          * The whole range was read.
          *
-         * @param afterOutage whether at least one read failed before this one
+         * @param afterOutage whether reads failed before this one for so long that keys may have
+         *     expired whose owners are alive
          */
         void rangeRead(RangeResult range, boolean afterOutage);
 
@@ -85,30 +86,30 @@
 
     private void readAndWatch() throws InterruptedException {
         long retryMs = FIRST_RETRY_MS;
-        boolean outage = false;
+        ReadOutage outage = new ReadOutage(System::nanoTime);
         RangeResult range = null;
         while (range == null) {
             switch (store.range(fromKey, toKey, 0)) {
                 case StoreOutcome.Done<RangeResult> done -> range = done.value();
                 case StoreOutcome.NotApplied<RangeResult> failed ->
-                        logReadFailure(outage, failed.reason());
+                        logReadFailure(outage.readFailed(), failed.reason());
                 case StoreOutcome.Unknown<RangeResult> failed ->
-                        logReadFailure(outage, failed.reason());
+                        logReadFailure(outage.readFailed(), failed.reason());
             }
             if (range == null) {
-                outage = true;
                 listener.tick();
                 Thread.sleep(retryMs);
                 retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
             }
         }
+        boolean afterOutage = outage.end();
         LOG.atInfo()
                 .addKeyValue("event", "store_read")
                 .addKeyValue("revision", range.revision())
                 .addKeyValue("entries", range.entries().size())
-                .addKeyValue("afterOutage", outage)
+                .addKeyValue("afterOutage", afterOutage)
                 .log();
-        listener.rangeRead(range, outage);
+        listener.rangeRead(range, afterOutage);
         connected = true;
         // A new queue for each watch, so that late events of an earlier one are not mixed in.
         LinkedBlockingQueue<WatchEvent> events = new LinkedBlockingQueue<>();
@@ -144,8 +145,8 @@
         };
     }
 
-    private static void logReadFailure(boolean alreadyFailing, String reason) {
-        if (!alreadyFailing) {
+    private static void logReadFailure(boolean first, String reason) {
+        if (first) {
             LOG.atWarn().addKeyValue("event", "store_lost").addKeyValue("reason", reason).log();
         }
     }
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/mirror/StoreFollowerTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/mirror/StoreFollowerTest.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.skylarkmast.core.store.KeyValueStore;
 import org.skylarkmast.core.store.LeaseState;
@@ -38,7 +39,7 @@
     }
 
     /** A store in which a key is written and removed during each watch. */
-    private static final class WatchedStore implements KeyValueStore {
+    private static class WatchedStore implements KeyValueStore {
         final CountDownLatch watched = new CountDownLatch(1);
         final AtomicInteger reads = new AtomicInteger();
         private final Failure failure;
@@ -106,16 +107,22 @@
     }
 
     /** A listener that records what it was told. */
-    private record RecordingListener(Failure failure, Queue<Long> written, Queue<Long> removed)
+    private record RecordingListener(
+            Failure failure, Queue<Long> written, Queue<Long> removed, Queue<Boolean> reads)
             implements StoreFollower.Listener {
 
         RecordingListener(Failure failure) {
-            this(failure, new ConcurrentLinkedQueue<>(), new ConcurrentLinkedQueue<>());
+            this(
+                    failure,
+                    new ConcurrentLinkedQueue<>(),
+                    new ConcurrentLinkedQueue<>(),
+                    new ConcurrentLinkedQueue<>());
         }
 
         @Override
         public void rangeRead(RangeResult range, boolean afterOutage) {
             failure.throwIfDue(FailingCall.RANGE_READ);
+            reads.add(afterOutage);
         }
 
         @Override
@@ -155,6 +162,31 @@
         }
     }
 
+    @ParameterizedTest(name = "reads fail for {0} ms")
+    @CsvSource({"0, false", "300, false", "2500, true"})
+    void onlyAnOutageInWhichKeysMayExpireIsReported(long outageMs, boolean reported) {
+        Failure failure = new Failure(null);
+        long startedNs = System.nanoTime();
+        WatchedStore store =
+                new WatchedStore(failure) {
+                    @Override
+                    public StoreOutcome<RangeResult> range(
+                            String fromKey, String toKey, int limit) {
+                        boolean down = System.nanoTime() - startedNs < outageMs * 1_000_000;
+                        return down
+                                ? new StoreOutcome.NotApplied<>("down")
+                                : super.range(fromKey, toKey, limit);
+                    }
+                };
+        RecordingListener listener = new RecordingListener(failure);
+        try (StoreFollower _ = new StoreFollower(store, "", "z", listener)) {
+            while (listener.reads().isEmpty() && System.nanoTime() - startedNs < WAIT_NS) {
+                LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+            }
+            assertThat(listener.reads()).containsExactly(reported);
+        }
+    }
+
     @Test
     void isNotConnectedBeforeItsListenerHasTheContent() throws InterruptedException {
         WatchedStore store = new WatchedStore(new Failure(null));
--- a/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
+++ b/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
@@ -113,6 +113,11 @@
             disconnected = true;
         }
 
+        void reconnectToService() {
+            store.setDown(false);
+            disconnected = false;
+        }
+
         void close() {
             follower.close();
             server.close();
@@ -141,6 +146,10 @@
         var _ = operatorStore.commit(new Txn(List.of(), List.of(new Write.Put(key, bytes, 0))));
     }
 
+    private void remove(String key) {
+        var _ = operatorStore.commit(new Txn(List.of(), List.of(new Write.Delete(key))));
+    }
+
     private LedgerView view() {
         return new LedgerView(
                 1, storageNodes.stream().map(storageNode -> storageNode.self).toList());
@@ -252,4 +261,45 @@
         await(content, "late", "1");
         assertThat(content.values).containsEntry("config", "1");
     }
+
+    @Test
+    void runnerRemovedAfterAnOutageWasRepairedByStorageNodesIsNotKept() {
+        put("runner", "1");
+        InMemoryStore store = new InMemoryStore(state, executor);
+        MirroredContent content = startEntryNode(store);
+        await(content, "runner", "1");
+        failDirectRead(store);
+        storageNodes.forEach(StorageNode::reconnectToService);
+        put("config", "2");
+        awaitThroughStorageNodes(content, "config", "2");
+        storageNodes.forEach(StorageNode::close);
+        remove("runner");
+        put("config", "3");
+        await(content, "config", "3");
+        assertThat(content.values).doesNotContainKey("runner");
+    }
+
+    /** Has the entry node read the service in vain while no storage node is connected to it. */
+    private void failDirectRead(InMemoryStore store) {
+        store.setDown(true);
+        storageNodes.forEach(StorageNode::disconnectFromService);
+        long readsBefore = store.reads();
+        long startedNs = System.nanoTime();
+        while (store.reads() == readsBefore
+                && System.nanoTime() - startedNs < TimeUnit.SECONDS.toNanos(TIMEOUT_S)) {
+            Thread.onSpinWait();
+        }
+        assertThat(store.reads()).isGreaterThan(readsBefore);
+        store.setDown(false);
+    }
+
+    private void awaitThroughStorageNodes(MirroredContent content, String key, String value) {
+        long startedNs = System.nanoTime();
+        while (!value.equals(content.values.get(key))
+                && System.nanoTime() - startedNs < TimeUnit.SECONDS.toNanos(TIMEOUT_S)) {
+            storageNodes.forEach(
+                    storageNode -> storageNode.exchange.fetchChanges(view(), storageNode.self));
+        }
+        assertThat(content.values).containsEntry(key, value);
+    }
 }
