[relay] Do not take a storage node that is behind for up to date

A storage node whose watch hangs counts as up to date while another one answers it, for up to 3.7 s. An entry node that has read the store itself, and knows a newer revision than that storage node, still took its word and read no more: changes reached it when the watch ended.

Change: the answer counts as up to date only if its revision is not older than the one that the entry node knows.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
@@ -125,7 +125,8 @@
             return false;
         }
         mirror.merge(changes);
-        boolean upToDate = changes.upToDate();
+        // A storage node that is behind this one misses changes, whatever it knows of its watch.
+        boolean upToDate = changes.upToDate() && changes.revision() >= knownRevision;
         if (upToDate) {
             // The storage node has kept what an outage let expire; it tells what was removed since.
             var _ = outage.end();
--- a/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
+++ b/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
@@ -302,4 +302,14 @@
         }
         assertThat(content.values).containsEntry(key, value);
     }
+
+    @Test
+    void storageNodeThatIsBehindTheEntryNodeIsNotTakenToBeUpToDate() {
+        storageNodes.forEach(storageNode -> storageNode.store.setDown(true));
+        put("config", "2");
+        MirroredContent content = startEntryNode(new InMemoryStore(state, executor));
+        await(content, "config", "2");
+        put("config", "3");
+        awaitThroughStorageNodes(content, "config", "3");
+    }
 }
