[relay] Measure an outage of the store from the start of its first failed read

A store that falls silent for a moment longer than a watch lasts would fail one read after 1.5 s and answer the next at once; the outage would have counted as nothing, and runners whose entries expired meanwhile would have been dropped although they live.

Figures: StoreFollowerTest, the case of one read that fails after 1.5 s (it fails if measured from the failure, by the 0.05 s between the two reads).

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
@@ -48,7 +48,7 @@
     private final KeyRange keys;
     private final StoreMirror mirror;
     private final LedgerClient ledger;
-    private final ReadOutage outage = new ReadOutage(System::nanoTime);
+    private final ReadOutage outage = new ReadOutage();
     private final Thread thread;
     private long upToDateNs;
     private long lastReadNs;
@@ -129,7 +129,7 @@
         boolean upToDate = changes.upToDate() && changes.revision() >= knownRevision;
         if (upToDate) {
             // The storage node has kept what an outage let expire; it tells what was removed since.
-            var _ = outage.end();
+            var _ = outage.end(System.nanoTime());
         }
         // If the storage node is not connected to the service, the next update reads it directly.
         upToDateNs = upToDate ? System.nanoTime() : 0;
@@ -141,7 +141,7 @@
         lastReadNs = System.nanoTime();
         switch (store.range(keys.from(), keys.to(), 0)) {
             case StoreOutcome.Done<RangeResult> done -> {
-                boolean afterOutage = outage.end();
+                boolean afterOutage = outage.end(System.nanoTime());
                 mirror.rangeRead(done.value(), afterOutage);
                 upToDateNs = System.nanoTime();
                 readPauseMs = READ_PAUSE_MS;
@@ -158,7 +158,7 @@
     }
 
     private void readFailed(String reason) {
-        if (outage.readFailed()) {
+        if (outage.readFailed(lastReadNs)) {
             LOG.atWarn().addKeyValue("event", "store_lost").addKeyValue("reason", reason).log();
         }
         // A node without any content cannot serve requests, so it retries in quick succession.
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/ReadOutage.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/ReadOutage.java
@@ -1,7 +1,6 @@
 package org.skylarkmast.relay.mirror;
 
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
 
 /**
  * The time for which reads of the key-value service have failed. Not thread-safe.
@@ -14,33 +13,33 @@
     /** Owners renew their keys every second or so; a key expires after several missed renewals. */
     private static final long MIN_EXPIRY_MS = 1000;
 
-    private final LongSupplier clockNs;
     private boolean lasts;
     private long startedNs;
 
     /**
-     * @param clockNs monotonic clock, in ns
+     * Records a failed read.
+     *
+     * @param readStartedNs when the read was sent, on the JDK's monotonic clock
+     * @return whether it is the first of an outage
      */
-    ReadOutage(LongSupplier clockNs) {
-        this.clockNs = clockNs;
-    }
-
-    /** Records a failed read; returns whether it is the first of an outage. */
-    boolean readFailed() {
+    boolean readFailed(long readStartedNs) {
         boolean first = !lasts;
         if (first) {
             lasts = true;
-            startedNs = clockNs.getAsLong();
+            startedNs = readStartedNs;
         }
         return first;
     }
 
-    /** Ends the outage, if there is one; returns whether keys may have expired during it. */
-    boolean end() {
+    /**
+     * Ends the outage, if there is one.
+     *
+     * @param nowNs time on the same clock
+     * @return whether keys may have expired during it
+     */
+    boolean end(long nowNs) {
         boolean mayHaveExpiredKeys =
-                lasts
-                        && clockNs.getAsLong() - startedNs
-                                >= TimeUnit.MILLISECONDS.toNanos(MIN_EXPIRY_MS);
+                lasts && nowNs - startedNs >= TimeUnit.MILLISECONDS.toNanos(MIN_EXPIRY_MS);
         lasts = false;
         return mayHaveExpiredKeys;
     }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreFollower.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreFollower.java
@@ -86,15 +86,16 @@
 
     private void readAndWatch() throws InterruptedException {
         long retryMs = FIRST_RETRY_MS;
-        ReadOutage outage = new ReadOutage(System::nanoTime);
+        ReadOutage outage = new ReadOutage();
         RangeResult range = null;
         while (range == null) {
+            long readStartedNs = System.nanoTime();
             switch (store.range(fromKey, toKey, 0)) {
                 case StoreOutcome.Done<RangeResult> done -> range = done.value();
                 case StoreOutcome.NotApplied<RangeResult> failed ->
-                        logReadFailure(outage.readFailed(), failed.reason());
+                        logReadFailure(outage.readFailed(readStartedNs), failed.reason());
                 case StoreOutcome.Unknown<RangeResult> failed ->
-                        logReadFailure(outage.readFailed(), failed.reason());
+                        logReadFailure(outage.readFailed(readStartedNs), failed.reason());
             }
             if (range == null) {
                 listener.tick();
@@ -102,7 +103,7 @@
                 retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
             }
         }
-        boolean afterOutage = outage.end();
+        boolean afterOutage = outage.end(System.nanoTime());
         LOG.atInfo()
                 .addKeyValue("event", "store_read")
                 .addKeyValue("revision", range.revision())
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/mirror/StoreFollowerTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/mirror/StoreFollowerTest.java
@@ -162,9 +162,9 @@
         }
     }
 
-    @ParameterizedTest(name = "reads fail for {0} ms")
-    @CsvSource({"0, false", "300, false", "2500, true"})
-    void onlyAnOutageInWhichKeysMayExpireIsReported(long outageMs, boolean reported) {
+    @ParameterizedTest(name = "reads fail for {0} ms, after {1} ms each")
+    @CsvSource({"0, 0, false", "300, 0, false", "2500, 0, true", "100, 1500, true"})
+    void onlyAnOutageInWhichKeysMayExpireIsReported(long outageMs, long readMs, boolean reported) {
         Failure failure = new Failure(null);
         long startedNs = System.nanoTime();
         WatchedStore store =
@@ -173,9 +173,11 @@
                     public StoreOutcome<RangeResult> range(
                             String fromKey, String toKey, int limit) {
                         boolean down = System.nanoTime() - startedNs < outageMs * 1_000_000;
-                        return down
-                                ? new StoreOutcome.NotApplied<>("down")
-                                : super.range(fromKey, toKey, limit);
+                        if (!down) {
+                            return super.range(fromKey, toKey, limit);
+                        }
+                        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(readMs));
+                        return new StoreOutcome.NotApplied<>("down");
                     }
                 };
         RecordingListener listener = new RecordingListener(failure);
--- a/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
+++ b/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
@@ -46,6 +46,9 @@
     private static final KeyRange ALL = new KeyRange("", "\uffff");
     private static final long TIMEOUT_S = 20;
 
+    /** Longer than an entry node that misses changes pauses between reads of the service. */
+    private static final long MAX_READ_PAUSE_NS = TimeUnit.SECONDS.toNanos(5);
+
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final StoreState state = new StoreState(System::nanoTime);
     private final InMemoryStore operatorStore = new InMemoryStore(state, executor);
@@ -272,6 +275,7 @@
         storageNodes.forEach(StorageNode::reconnectToService);
         put("config", "2");
         awaitThroughStorageNodes(content, "config", "2");
+        awaitNoDirectRead(store);
         storageNodes.forEach(StorageNode::close);
         remove("runner");
         put("config", "3");
@@ -293,6 +297,19 @@
         store.setDown(false);
     }
 
+    /** Waits until the entry node takes the storage nodes to be up to date. */
+    private void awaitNoDirectRead(InMemoryStore store) {
+        long readsBefore = -1;
+        while (store.reads() != readsBefore) {
+            readsBefore = store.reads();
+            long startedNs = System.nanoTime();
+            while (System.nanoTime() - startedNs < MAX_READ_PAUSE_NS) {
+                storageNodes.forEach(
+                        storageNode -> storageNode.exchange.fetchChanges(view(), storageNode.self));
+            }
+        }
+    }
+
     private void awaitThroughStorageNodes(MirroredContent content, String key, String value) {
         long startedNs = System.nanoTime();
         while (!value.equals(content.values.get(key))
