[relay] Learn from other mirrors whether keys went missing by removal

Cause: a mirror that keeps missing keys asks other mirrors for changes since its new reading. A removal before that is not among them, though the others saw it, and the key stays for the whole 2 s.

Change: while missing keys are kept, changes are asked for since the revision before they went missing. A mirror that had no outage tells of their removal at once; after an outage of the service nobody does, and keys are kept as before.

Related paths: entry nodes after a read of their own ask storage nodes in the same way, with the same change.

Whether it is what the users saw is only suspected.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
@@ -117,7 +117,7 @@
                         LedgerOperation.CHANGES,
                         MirrorCodec.encode(
                                 new MirrorCodec.ChangesRequest(
-                                        knownRevision, mirror.digest(), waitMs, false)),
+                                        mirror.requestRevision(), mirror.digest(), waitMs, false)),
                         waitMs + ANSWER_ALLOWANCE_MS,
                         MirrorCodec::read);
         if (changes == null) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorExchange.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorExchange.java
@@ -80,7 +80,7 @@
                         LedgerOperation.CHANGES,
                         MirrorCodec.encode(
                                 new MirrorCodec.ChangesRequest(
-                                        mirror.revision(), mirror.digest(), 0, true)),
+                                        mirror.requestRevision(), mirror.digest(), 0, true)),
                         CALL_TIMEOUT_MS,
                         MirrorCodec::read);
         if (changes == null) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreMirror.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreMirror.java
@@ -61,6 +61,9 @@
     private long revision;
     private long evictedRemovalRevision;
 
+    /** Revision up to which all changes were known before keys were found missing. */
+    private long keptSinceRevision;
+
     /** Receives changes of the content. */
     public interface Listener {
 
@@ -87,6 +90,15 @@
         return revision;
     }
 
+    /**
+     * Returns the revision from which another mirror is asked for changes. While missing keys are
+     * kept that is the one before they went missing: a mirror that had no outage knows whether they
+     * were removed.
+     */
+    public synchronized long requestRevision() {
+        return keptUntilNs.isEmpty() ? revision : Math.min(revision, keptSinceRevision);
+    }
+
     /** Returns a number that is equal for mirrors that hold the same keys at the same revisions. */
     public synchronized long digest() {
         long digest = 0;
@@ -118,6 +130,9 @@
     }
 
     private void keepOrRemove(List<String> missing, long atRevision, boolean keep) {
+        if (keep && !missing.isEmpty() && keptUntilNs.isEmpty()) {
+            keptSinceRevision = revision;
+        }
         for (String key : missing) {
             if (keep) {
                 long untilNs = clockNs.getAsLong() + REWRITE_GRACE_MS * NS_PER_MS;
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/mirror/StoreMirrorTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/mirror/StoreMirrorTest.java
@@ -58,7 +58,7 @@
 
         MirrorChanges changesFor(ObservedMirror requester) {
             return mirror.changesSince(
-                    requester.mirror.revision(), requester.mirror.digest(), true);
+                    requester.mirror.requestRevision(), requester.mirror.digest(), true);
         }
 
         void read(long revision, boolean afterOutage, StoreEntry... entries) {
@@ -117,6 +117,29 @@
         assertThat(observed.held).containsExactly("r0", 21L);
     }
 
+    @ParameterizedTest(name = "read at revision {0}")
+    @ValueSource(longs = {8, 9, 12})
+    void keyRemovedWhileOneMirrorAloneHadAnOutageIsNotKept(long readRevision) throws Exception {
+        ObservedMirror cutOff = new ObservedMirror();
+        ObservedMirror watching = new ObservedMirror();
+        for (ObservedMirror observed : List.of(cutOff, watching)) {
+            observed.read(5, false, entry("a", 1), entry("r", 3));
+        }
+        watching.mirror.removed("r", 7);
+        watching.mirror.written(entry("b", 8));
+        watching.mirror.written(entry("c", 12));
+        StoreEntry[] present =
+                Stream.of(entry("a", 1), entry("b", 8), entry("c", 12))
+                        .filter(entry -> entry.modRevision() <= readRevision)
+                        .toArray(StoreEntry[]::new);
+        cutOff.read(readRevision, true, present);
+        assertThat(cutOff.held).containsKey("r");
+        MirrorChanges changes = watching.changesFor(cutOff);
+        byte[] sent = LedgerCodec.encode(out -> MirrorCodec.write(out, changes));
+        cutOff.mirror.merge(LedgerCodec.decode(sent, MirrorCodec::read));
+        assertThat(cutOff.held).containsExactly("a", 1L, "b", 8L, "c", 12L);
+    }
+
     /** Many runners may leave while a watch is lost; they must not be sent further requests. */
     @ParameterizedTest(name = "missing {0}")
     @ValueSource(ints = {1, 6, 12})
