--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/http/CallerConnectionTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/http/CallerConnectionTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -90,6 +91,29 @@
                 () -> connection.readBody(request, MAX_BODY_BYTES));
     }
 
+    // Guards against a head, or trailers, taken for whole though the caller closed inside them.
+    @Tag("known-red")
+    @ParameterizedTest(name = "{0}")
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "no body|POST /p HTTP/1.1~Host: a~X: 1~~",
+                "length|POST /p HTTP/1.1~Host: a~Content-Length: 3~~abc",
+                "chunks|POST /p HTTP/1.1~Host: a~Transfer-Encoding: chunked~~2~ab~0~~",
+                "trailers|POST /p HTTP/1.1~Host: a~Transfer-Encoding: chunked~~2~ab~0~T: t~U: u~~",
+            })
+    void requestThatWasCutIsNotRead(String name, String raw) throws IOException {
+        String request = raw.replace("~", "\r\n");
+        for (int length = 0; length < request.length(); length++) {
+            CallerConnection connection = connectionReceiving(request.substring(0, length));
+            assertThrows(
+                    IOException.class,
+                    () -> connection.readBody(connection.readHead(), MAX_BODY_BYTES),
+                    "cut after " + length + " bytes");
+            connection.close();
+        }
+    }
+
     @Test
     void rejectsHeadAboveTheLimit() throws IOException {
         CallerConnection connection =
