[relay] Break off a stream at what is no event of it, or an event that the caller has

Cause: the events of a 200 were passed on as they came. A status line and fields up to an empty line look like an event without data; ids were read, never compared. Whether a stream without length had events was asked of the whole answer, not of the runner's part.

Change: EventSequence passes on events as long as each line is a comment or a field whose name is a token (unknown names are allowed: the pages have one) and ids increase, from the last event that the caller has on. Ids that are no numbers only must not repeat; gaps are allowed, as the pages ask only for increasing ids. What does not go on with the stream breaks the exchange (runner_exchange_broken with the reason): the stream goes on elsewhere or is broken off. A continuation must have the media type of the head, if both state one. The same sender passes on answers of other entry nodes.

What remains: a continuation that skips events is believed, and so is one that ends complete without an event of its own in chunks or with a length: it may be the end of a stream whose last event has gone out.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/AnswerWriter.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/AnswerWriter.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.List;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.function.BooleanSupplier;
 import org.skylarkmast.relay.http.CallerConnection;
@@ -14,21 +15,25 @@
 /** Writes a runner's answer to the caller and records what was written. Confined to one thread. */
 final class AnswerWriter {
     private static final String CONTENT_ENCODING = "Content-Encoding";
+    private static final String CONTENT_TYPE = "Content-Type";
 
     private final CallerConnection caller;
     private final BooleanSupplier closeAfterAnswer;
     private final int tokensPerEvent;
     private final boolean recordsOutput;
+    private final String callerEventId;
     private final AnswerFields answerFields;
     private final ByteArrayOutputStream output = new ByteArrayOutputStream();
     private Runner runner;
     private boolean hasBegun;
     private int status;
     private String contentEncoding;
+    private String mediaType = "";
     private boolean closesConnection;
     private boolean isComplete;
     private String lastEventId = "";
     private int eventsWritten;
+    private boolean lastPartHasEvents;
     private String runnerFraming = "";
     private int trailingBytes;
 
@@ -44,16 +49,22 @@
         HeaderFields translate(HeaderFields fields, Runner runner);
     }
 
+    /**
+     * @param callerEventId id of the last event that the caller has of a stream that it resumes,
+     *     empty if it resumes none
+     */
     AnswerWriter(
             CallerConnection caller,
             BooleanSupplier closeAfterAnswer,
             int tokensPerEvent,
             boolean recordsOutput,
+            String callerEventId,
             AnswerFields answerFields) {
         this.caller = caller;
         this.closeAfterAnswer = closeAfterAnswer;
         this.tokensPerEvent = tokensPerEvent;
         this.recordsOutput = recordsOutput;
+        this.callerEventId = callerEventId;
         this.answerFields = answerFields;
     }
 
@@ -73,7 +84,18 @@
      */
     boolean isContinuedBy(RunnerAnswer answer) {
         return answer.status() == status
-                && Objects.equals(answer.fields().first(CONTENT_ENCODING), contentEncoding);
+                && Objects.equals(answer.fields().first(CONTENT_ENCODING), contentEncoding)
+                && (mediaType.isEmpty()
+                        || mediaType(answer).isEmpty()
+                        || mediaType(answer).equals(mediaType));
+    }
+
+    /** Returns the media type without its parameters, empty if the answer states none. */
+    private static String mediaType(RunnerAnswer answer) {
+        String contentType = answer.fields().first(CONTENT_TYPE);
+        return contentType == null
+                ? ""
+                : contentType.split(";", 2)[0].strip().toLowerCase(Locale.ROOT);
     }
 
     /** Whether the answer announced that the connection closes after it. */
@@ -91,6 +113,16 @@
         return lastEventId;
     }
 
+    /** Id of the last event that the caller has of the stream, empty if there is none. */
+    String precedingEventId() {
+        return lastEventId.isEmpty() ? callerEventId : lastEventId;
+    }
+
+    /** Whether an event of the last runner's part of the stream has been written or attempted. */
+    boolean lastPartHasEvents() {
+        return lastPartHasEvents;
+    }
+
     /** Whether an event has been written or attempted. */
     boolean hasEvents() {
         return eventsWritten > 0 || !lastEventId.isEmpty();
@@ -130,10 +162,12 @@
     /** Writes the head, unless this stream is resumed at another runner and already has one. */
     void beginStream(RunnerAnswer answer) throws IOException {
         runnerFraming = answer.framing().label();
+        lastPartHasEvents = false;
         if (!hasBegun) {
             hasBegun = true;
             status = answer.status();
             contentEncoding = answer.fields().first(CONTENT_ENCODING);
+            mediaType = mediaType(answer);
             closesConnection = closeAfterAnswer.getAsBoolean();
             caller.beginStream(answer.status(), fieldsToWrite(answer), closesConnection);
         }
@@ -148,6 +182,7 @@
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         for (EventSplitter.Event event : events) {
             bytes.writeBytes(event.bytes());
+            lastPartHasEvents |= event.hasData() || !event.id().isEmpty();
             if (!event.id().isEmpty()) {
                 lastEventId = event.id();
             }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/EventSplitter.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/EventSplitter.java
@@ -24,9 +24,10 @@
      * @param id its id, empty if it has none
      * @param data its data lines joined by line feeds; empty if it has none
      * @param hasData whether it has a data line, which may be empty
+     * @param hasOnlyFields whether each line is a field, known or not, or a comment
      */
     @SuppressWarnings("ArrayRecordComponent") // bytes are opaque and never compared
-    record Event(byte[] bytes, String id, byte[] data, boolean hasData) {}
+    record Event(byte[] bytes, String id, byte[] data, boolean hasData, boolean hasOnlyFields) {}
 
     /** Appends bytes and returns the events that they complete. */
     List<Event> append(byte[] bytes, int length) {
@@ -71,7 +72,9 @@
         String id = "";
         StringBuilder data = new StringBuilder();
         boolean hasData = false;
+        boolean hasOnlyFields = true;
         for (String line : text.split("\r\n|\n", -1)) {
+            hasOnlyFields &= isFieldOrComment(line);
             if (line.startsWith("id:")) {
                 id = fieldValue(line, 3);
             } else if (line.startsWith("data:")) {
@@ -82,7 +85,27 @@
                 hasData = true;
             }
         }
-        return new Event(bytes, id, data.toString().getBytes(StandardCharsets.ISO_8859_1), hasData);
+        return new Event(
+                bytes,
+                id,
+                data.toString().getBytes(StandardCharsets.ISO_8859_1),
+                hasData,
+                hasOnlyFields);
+    }
+
+    /** Whether the name of a line's field is a token (RFC 9110), which a status line's is not. */
+    private static boolean isFieldOrComment(String line) {
+        int colon = line.indexOf(':');
+        String name = colon < 0 ? line : line.substring(0, colon);
+        // The first line may begin with a byte order mark.
+        return name.chars().allMatch(c -> c >= 0x80 || isTokenCharacter(c));
+    }
+
+    private static boolean isTokenCharacter(int c) {
+        return (c >= 'a' && c <= 'z')
+                || (c >= 'A' && c <= 'Z')
+                || (c >= '0' && c <= '9')
+                || "!#$%&'*+-.^_`|~".indexOf(c) >= 0;
     }
 
     private static String fieldValue(String line, int from) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -248,7 +248,12 @@
         TargetService target = configuration.service(service);
         int tokensPerEvent = target == null ? 1 : target.tokensPerEvent();
         return new AnswerWriter(
-                caller, closeAfterAnswer, tokensPerEvent, recordsOutput, this::answerFields);
+                caller,
+                closeAfterAnswer,
+                tokensPerEvent,
+                recordsOutput,
+                call.lastEventId(),
+                this::answerFields);
     }
 
     private HeaderFields answerFields(HeaderFields fields, Runner runner) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.Semaphore;
@@ -345,16 +344,20 @@
         byte[] buffer = new byte[BUFFER_BYTES];
         writeToCaller(() -> writer.beginStream(answer));
         for (int n = body.read(buffer); n >= 0; n = body.read(buffer)) {
-            List<EventSplitter.Event> events = splitter.append(buffer, n);
-            if (!events.isEmpty()) {
-                writeToCaller(() -> writer.writeEvents(events));
+            EventSequence.Part part =
+                    EventSequence.after(writer.precedingEventId(), splitter.append(buffer, n));
+            if (!part.events().isEmpty()) {
+                writeToCaller(() -> writer.writeEvents(part.events()));
+            }
+            if (!part.flaw().isEmpty()) {
+                throw new IOException(part.flaw());
             }
         }
         byte[] remainder = splitter.remainder();
         writer.recordTrailingBytes(remainder.length);
         // A runner that fails before its first event ends an answer without length in the same way.
         boolean endsUnmarked = answer.framing() instanceof Framing.UntilClose;
-        if (splitter.isInsideEvent() || (endsUnmarked && !writer.hasEvents())) {
+        if (splitter.isInsideEvent() || (endsUnmarked && !writer.lastPartHasEvents())) {
             throw new IOException("stream ended inside an event");
         }
         if (remainder.length > 0) {
