[relay] Pass on no second answer as the end of a body without length

Cause: such a body ends with its connection, and nothing else tells its end.

Change: a body without length that contains a status line, and in the fields behind it the request's own id, is not passed on: the exchange counts as broken, so the request is sent elsewhere where its route allows that, or answered 502.

What remains: a second head that is cut before its id, one without the id, and one behind the first 256 KB, which are on their way by then, are still passed on. A body that quotes an answer to this very request is rejected, if it has no length.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
@@ -292,7 +292,7 @@
         if (request.stream() && answer.status() == 200) {
             return relayEvents(request, body, answer, writer);
         }
-        if (relayStart(body, answer, writer)) {
+        if (relayStart(request, body, answer, writer)) {
             return new SendResult.Delivered(answer.status());
         }
         byte[] buffer = new byte[BUFFER_BYTES];
@@ -310,7 +310,8 @@
      *
      * @return whether the answer is complete
      */
-    private boolean relayStart(InputStream body, RunnerAnswer answer, AnswerWriter writer)
+    private boolean relayStart(
+            OutboundRequest request, InputStream body, RunnerAnswer answer, AnswerWriter writer)
             throws IOException {
         int heldBlocks = 0;
         try {
@@ -325,6 +326,10 @@
                 start.writeBytes(block);
             }
             byte[] buffered = start.toByteArray();
+            if (answer.framing() instanceof Framing.UntilClose
+                    && SecondAnswer.isIn(buffered, request.requestId())) {
+                throw new IOException("a second answer follows one without length");
+            }
             if (block.length < BUFFER_BYTES) {
                 writeToCaller(() -> writer.writeComplete(answer, buffered));
                 return true;
