[relay] Quote nothing of a malformed answer to a caller

Cause: the parser's message quotes the line it cannot read, and became the reason of the refusal.

Change: the reason of a malformed head is a constant.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
@@ -135,7 +135,8 @@
                     new DefaultHttpResponseParser(LIMITS)
                             .parse(input, InputStream.nullInputStream());
         } catch (HttpException e) {
-            throw new MalformedMessageException(String.valueOf(e.getMessage()));
+            // The parser's message quotes what arrived, which may belong to another request.
+            throw new MalformedMessageException("malformed head of an answer");
         }
         input.endHead();
         if (parsed == null) {
