[relay] Show the configuration in force, the unreadable one and the mirror's progress

Entry nodes now have gauges of the version in force and of the newest version that could not be read; entry nodes and storage nodes have gauges of the store revision that their mirror has reached and of the age of the last proof that it is up to date. The log line of an unreadable configuration is configuration_unreadable, as docs/OPERATIONS.md calls it, with its version, the store's revision and the version that stays in force.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorClient.java
@@ -51,6 +51,7 @@
     private final ReadOutage outage = new ReadOutage();
     private final Thread thread;
     private long upToDateNs;
+    private volatile long provenNs;
     private long lastReadNs;
     private long readPauseMs;
 
@@ -67,6 +68,14 @@
         this.thread = Thread.ofVirtual().name("mirror-client").start(this::run);
     }
 
+    /**
+     * Returns the seconds since a storage node connected to the service answered, or the service
+     * was read; infinite before the first time.
+     */
+    public double proofAgeSeconds() {
+        return ProofAge.seconds(provenNs);
+    }
+
     @Override
     public void close() {
         thread.interrupt();
@@ -133,6 +142,9 @@
         }
         // If the storage node is not connected to the service, the next update reads it directly.
         upToDateNs = upToDate ? System.nanoTime() : 0;
+        if (upToDate) {
+            provenNs = upToDateNs;
+        }
         logRelayedChange(upToDate, "storage node not connected to the service");
         return true;
     }
@@ -144,6 +156,7 @@
                 boolean afterOutage = outage.end(System.nanoTime());
                 mirror.rangeRead(done.value(), afterOutage);
                 upToDateNs = System.nanoTime();
+                provenNs = upToDateNs;
                 readPauseMs = READ_PAUSE_MS;
                 LOG.atInfo()
                         .addKeyValue("event", "store_read")
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorExchange.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/MirrorExchange.java
@@ -94,6 +94,14 @@
         return true;
     }
 
+    /**
+     * Returns the seconds since a storage node that watches the service answered; infinite before
+     * the first time.
+     */
+    public double peerProofAgeSeconds() {
+        return ProofAge.seconds(upToDatePeerAnswerNs);
+    }
+
     /**
      * Whether this storage node is up to date. A broken connection that was not closed looks like a
      * watch without changes, so the own watch counts only while another storage node answers, which
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreFollower.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/mirror/StoreFollower.java
@@ -28,6 +28,7 @@
     private final Listener listener;
     private final Thread thread;
     private volatile boolean connected;
+    private volatile long provenNs;
 
     /** Receives the content of the range and its changes. */
     public interface Listener {
@@ -64,6 +65,14 @@
         return connected;
     }
 
+    /**
+     * Returns the seconds since this follower last handled what its watch delivered, while the
+     * watch was not known to be lost; infinite before the first time.
+     */
+    public double proofAgeSeconds() {
+        return ProofAge.seconds(provenNs);
+    }
+
     @Override
     public void close() {
         thread.interrupt();
@@ -117,6 +126,7 @@
         try (Watch _ = store.watch(fromKey, toKey, range.revision() + 1, events::add)) {
             while (handleNext(events)) {
                 listener.tick();
+                provenNs = System.nanoTime();
             }
         } finally {
             connected = false;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EntryNode.java
@@ -168,6 +168,7 @@
         new EntryNodeGauges(
                         callerServer, runnerConnections, admission, directory, ledger, quarantine)
                 .register(registry);
+        MirrorGauges.register(registry, routing);
         metricsServer = NodeEndpoints.start(settings.ip(), settings.metricsPort(), registry);
         readinessServer = startReadinessEndpoint(settings.readinessAddress());
         LOG.atInfo()
@@ -307,7 +308,9 @@
      */
     public void startMirror(KeyValueStore store, KeyRange keys, StoreMirror.Listener listener) {
         StoreMirror mirror = new StoreMirror(listener, System::nanoTime);
-        mirrorClient = new MirrorClient(store, keys, mirror, ledger);
+        MirrorClient client = new MirrorClient(store, keys, mirror, ledger);
+        mirrorClient = client;
+        MirrorGauges.register(registry, mirror, client::proofAgeSeconds);
     }
 
     /**
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
@@ -103,6 +103,10 @@
                 .help("Whether this keeper takes part in quorums.")
                 .callback(callback -> callback.call(membership.voting() ? 1 : 0))
                 .register(registry);
+        MirrorGauges.register(
+                registry,
+                content,
+                () -> Math.min(follower.proofAgeSeconds(), mirror.peerProofAgeSeconds()));
         NodeEndpoints.start(settings.ip(), settings.metricsPort(), registry);
         var _ =
                 HttpServer.start(
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/RoutingState.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/RoutingState.java
@@ -15,6 +15,7 @@
 
     private final CountDownLatch firstConfiguration = new CountDownLatch(1);
     private volatile RoutingConfiguration current;
+    private volatile long unreadableVersion;
 
     /** Returns the limits on callers' requests that are in force. */
     public CallerLimits callerLimits() {
@@ -39,8 +40,40 @@
         return current;
     }
 
+    /** Returns the version in force, or 0 before the first configuration. */
+    public long version() {
+        RoutingConfiguration configuration = current;
+        return configuration == null ? 0 : configuration.version();
+    }
+
+    /**
+     * Returns the version of the newest configuration if that could not be read: 0 if it could, -1
+     * if even its version could not be read.
+     */
+    public long unreadableVersion() {
+        return unreadableVersion;
+    }
+
+    /**
+     * Records that the newest configuration could not be read; the one before stays in force.
+     *
+     * @param version its version, or -1 if it could not be read
+     * @param revision revision of the key-value service at which it was written
+     */
+    public synchronized void recordUnreadable(long version, long revision, Throwable reason) {
+        unreadableVersion = version;
+        LOG.atError()
+                .addKeyValue("event", "configuration_unreadable")
+                .addKeyValue("version", version)
+                .addKeyValue("revision", revision)
+                .addKeyValue("inForce", version())
+                .setCause(reason)
+                .log();
+    }
+
     /** Replaces the current configuration by {@code offered} if its version is higher. */
     public synchronized void updateIfNewer(RoutingConfiguration offered) {
+        unreadableVersion = 0;
         RoutingConfiguration previous = current;
         if (previous != null && offered.version() <= previous.version()) {
             if (offered.version() < previous.version()) {
