[relay] Take no head for whole that runs on into the head of another answer

Callers were answered 503 or 429 for requests that ran, or such a request ran at a runner twice.

Cause: a runner that writes an earlier refusal again, in part, leaves a head without its end on the connection; the answer to the next request follows right behind. Both were read as one head: the status or X-Not-Executed of the refusal, with the id of the request that ran. The other way round too, if the answer is cut in a field and the refusal follows.

Evidence: EntryNodeRepeatedRefusalTest, each place at which a refusal or an answer can be cut. Before: 18 of 32 cases failed (all of the 20 with a cut except two). After: 0 of 32; EntryNodeLateAnswerTest 7 of 7 pass.

Ruled out: refusals that are whole, with another id, none or an empty one, up to 20 copies, also behind the answer, inside its body and inside a stream (12 cases, pass before and after).

Change: a head whose reason phrase or a field contains a status line is no answer, so the exchange is broken and promises nothing. Wherever a head is cut inside a line, the status line of the next answer is in that line; a cut between two lines was rejected before, as a line without a colon.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -36,6 +37,8 @@
     private static final Http1Config LIMITS =
             Http1Config.custom().setMaxHeaderCount(200).setMaxEmptyLineCount(1).build();
 
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}");
+
     private final Socket socket;
     private final ReadAheadInput input;
     private final OutputStream output;
@@ -142,9 +145,12 @@
         if (parsed == null) {
             throw new IOException("connection ended before an answer");
         }
+        rejectStatusLine(parsed.getReasonPhrase());
         List<HeaderFields.Field> fields = new ArrayList<>();
         for (Header header : parsed.getHeaders()) {
             String value = header.getValue() == null ? "" : header.getValue();
+            rejectStatusLine(header.getName());
+            rejectStatusLine(value);
             fields.add(new HeaderFields.Field(header.getName(), value));
         }
         HeaderFields all = new HeaderFields(fields);
@@ -160,6 +166,13 @@
         return new RunnerAnswer(status, all, framing, persistent);
     }
 
+    /** Rejects a head that was cut off and runs on into the head of another answer. */
+    private static void rejectStatusLine(String text) throws MalformedMessageException {
+        if (text != null && STATUS_LINE.matcher(text).find()) {
+            throw new MalformedMessageException("an answer begins within the head of another");
+        }
+    }
+
     /** Returns the body of {@code answer}; reading fails if the body is truncated. */
     public InputStream body(RunnerAnswer answer) {
         InputStream placeholder = InputStream.nullInputStream();
