[relay] Pass on no refusal that does not say not run, if the request may run once

Callers of requests that may run once took a runner's 408, 429 or 503 without X-Not-Executed for the promise that the request did not run.

Cause: such an answer was no rejection to the entry node, and was passed on like any other answer. To the caller its status is a promise all the same.

Change: for requests that must not be sent again, such an answer ends the exchange as one that may have run: 502. Routes that may be retried, and the refusals of other entry nodes, are passed on as before: the first promise nothing that matters, the second are true.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/OutboundRequest.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/OutboundRequest.java
@@ -11,6 +11,9 @@
  * @param units amount of work: expected output tokens of a stream, 1 otherwise
  * @param stream whether the answer is a stream of events
  * @param streamEndHook called after all events were written and before the end of the stream is
+ * @param relaysUnmarkedRefusal whether an answer whose status promises that the request was not run
+ *     is passed on even if it does not say so otherwise: harmless if the request may run again, and
+ *     right for the refusals of another entry node
  * @param headTimeoutMs maximum time until the head of the answer, or {@link #NO_HEAD_TIMEOUT}
  */
 @SuppressWarnings("ArrayRecordComponent") // bodies are opaque and never compared
@@ -25,6 +28,7 @@
         List<PromptPart> prompt,
         boolean stream,
         RequestSender.StreamEndHook streamEndHook,
+        boolean relaysUnmarkedRefusal,
         long headTimeoutMs) {
 
     /** The time until the head of the answer is limited by the deadline only. */
@@ -43,6 +47,7 @@
                 prompt,
                 stream,
                 streamEndHook,
+                relaysUnmarkedRefusal,
                 headTimeoutMs);
     }
 
@@ -59,6 +64,7 @@
                 prompt,
                 stream,
                 streamEndHook,
+                relaysUnmarkedRefusal,
                 ms);
     }
 }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -203,7 +203,7 @@
             byte[] body, boolean reserved, OriginBinding binding, RequestLog.Entry entry)
             throws InterruptedException {
         writer = answerWriter(route.storesTurns());
-        OutboundRequest outboundRequest = outboundRequest(body, this::storeTurn);
+        OutboundRequest outboundRequest = outboundRequest(body, this::storeTurn, route.retryable());
         RetryLoop loop =
                 new RetryLoop(
                         context.pool(),
@@ -265,7 +265,7 @@
     }
 
     private OutboundRequest outboundRequest(
-            byte[] body, RequestSender.StreamEndHook streamEndHook) {
+            byte[] body, RequestSender.StreamEndHook streamEndHook, boolean relaysUnmarkedRefusal) {
         boolean stream = route.kind() == RouteKind.STREAM;
         return new OutboundRequest(
                 call.requestId(),
@@ -278,6 +278,7 @@
                 call.prompt(),
                 stream,
                 streamEndHook,
+                relaysUnmarkedRefusal,
                 OutboundRequest.NO_HEAD_TIMEOUT);
     }
 
@@ -302,7 +303,7 @@
         PeerRelay.Relayed relayed =
                 context.peerRelay()
                         .relay(
-                                outboundRequest(input, _ -> true),
+                                outboundRequest(input, _ -> true, true),
                                 new PeerRelay.Terms(
                                         maxAttempts, mayHaveRun, configuration.version()),
                                 exchange,
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
@@ -288,6 +288,9 @@
                     .log();
             return new SendResult.NotContinued(answer.status());
         }
+        if (Refusal.promisesNotRun(answer.status()) && !request.relaysUnmarkedRefusal()) {
+            throw new IOException("answer " + answer.status() + " does not say not run");
+        }
         InputStream body = connection.body(answer);
         if (request.stream() && answer.status() == 200) {
             return relayEvents(request, body, answer, writer);
