[daemon] Add failing test of repeatable calls behind a target that answers twice

A call that may be repeated goes on a kept connection.

The fault is in HttpClient, which was not changed here.

--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/dispatch/ServiceSenderLateAnswerTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/dispatch/ServiceSenderLateAnswerTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.skylarkmast.core.key.ProgramKey;
@@ -134,4 +135,23 @@
         assertThat(finished.status()).isEqualTo(200);
         assertThat(new String(finished.body(), StandardCharsets.UTF_8)).isEqualTo("/b");
     }
+
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 429 x\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 409 x\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 503 Serv",
+                ANSWER + "/a"
+            })
+    void repeatableCallGetsNoLateAnswerOfAnEarlierOne(String repeated) {
+        lateAnswer = repeated;
+        call(1, "/a", true);
+        call(2, "/b", true);
+        assertThat(events.getLast()).isInstanceOf(ProgramEvent.ServiceFinished.class);
+        ProgramEvent.ServiceFinished finished = (ProgramEvent.ServiceFinished) events.getLast();
+        assertThat(new String(finished.body(), StandardCharsets.UTF_8)).isEqualTo("/b");
+    }
 }
