[daemon] Take the test of repeatable calls off the list of known red

A repeatable call of the daemon got a late second answer to the call before, read from a kept connection: BUSY or STALE_EPOCH of a call that had run, or the result of another call. A copy that arrives after the next request was written is still taken for its answer.

--- a/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/dispatch/ServiceSenderLateAnswerTest.java
+++ b/skylarkmast-daemon/src/test/java/org/skylarkmast/daemon/dispatch/ServiceSenderLateAnswerTest.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.skylarkmast.core.key.ProgramKey;
@@ -136,7 +135,6 @@
         assertThat(new String(finished.body(), StandardCharsets.UTF_8)).isEqualTo("/b");
     }
 
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(
             strings = {
