[relay] Bound what a node without a configuration reads of a request

The limits until the first configuration, widened to keep proper requests from 413 and 431, let a caller fill the node's heap: bodies up to 2 GiB. They are 64 KiB and 4 MiB now, and a request above them gets 503 with Retry-After, as it may be within the limits of the configuration still to come. requestAboveTheLimitsOfTheNodeGets503: two new cases.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -32,6 +32,9 @@
     private static final int BACKLOG = 1024;
     private static final int LINGER_MS = 500;
 
+    /** Retry-After of a request that a configuration still to come may allow, in seconds. */
+    private static final String NO_CONFIGURATION_RETRY_AFTER_S = "1";
+
     private final ServerSocket listener;
     private final RequestServer requests;
     private final Supplier<CallerLimits> limits;
@@ -217,10 +220,10 @@
         } catch (MalformedMessageException e) {
             return refuse(connection, 400, e.getMessage());
         } catch (HeadTooLargeException e) {
-            return refuse(connection, 431, e.getMessage());
+            return refuse(connection, inForce.provisional() ? 503 : 431, e.getMessage());
         }
         if (body == null) {
-            return refuse(connection, 413, "body is too long");
+            return refuse(connection, inForce.provisional() ? 503 : 413, "body is too long");
         }
         socket.setSoTimeout(0);
         boolean reusable =
@@ -238,9 +241,10 @@
                 .addKeyValue("status", status)
                 .addKeyValue("reason", reason)
                 .log();
+        HeaderFields fields = HeaderFields.NONE.with("Content-Type", "text/plain");
         connection.writeAnswer(
                 status,
-                HeaderFields.NONE.with("Content-Type", "text/plain"),
+                status == 503 ? fields.with("Retry-After", NO_CONFIGURATION_RETRY_AFTER_S) : fields,
                 (reason + "\n").getBytes(java.nio.charset.StandardCharsets.UTF_8),
                 true);
         connection.closeAfterAnswer(LINGER_MS);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/RoutingState.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/RoutingState.java
@@ -9,12 +9,9 @@
 public final class RoutingState {
     private static final Logger LOG = LoggerFactory.getLogger(RoutingState.class);
 
-    /**
-     * Limits in force until a configuration has been received: wide, since the configuration may
-     * allow what a narrower one would reject as improper.
-     */
+    /** Limits in force until a configuration has been received; bound what a node holds. */
     private static final CallerLimits DEFAULT_LIMITS =
-            new CallerLimits(1 << 20, Integer.MAX_VALUE, 3000, 15_000);
+            new CallerLimits(65_536, 4 << 20, 3000, 15_000, true);
 
     private final CountDownLatch firstConfiguration = new CountDownLatch(1);
     private volatile RoutingConfiguration current;
