--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
@@ -349,7 +349,22 @@
         public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream in)
                 throws IOException, HttpException {
             lastInput = buffer;
-            return super.parse(CompleteLineInput.ofHead(buffer), in);
+            ClassicHttpResponse response = super.parse(CompleteLineInput.ofHead(buffer), in);
+            if (response != null) {
+                rejectStatusLine(response.getReasonPhrase());
+                for (Header header : response.getHeaders()) {
+                    rejectStatusLine(header.getName());
+                    rejectStatusLine(header.getValue());
+                }
+            }
+            return response;
+        }
+
+        /** Rejects a head that was cut off and runs on into the head of another response. */
+        private static void rejectStatusLine(String text) throws ProtocolException {
+            if (StatusLines.areIn(text)) {
+                throw new ProtocolException("a response begins within the head of another");
+            }
         }
 
         /** Returns the number of bytes that were received and not yet read. */
