--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/CallerConnection.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/CallerConnection.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.IntSupplier;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -34,10 +35,10 @@
     private final OutputStream output;
 
     /**
-     * @param maxHeadBytes maximum size of a request head in bytes
+     * @param maxHeadBytes returns the maximum size in bytes of a request head that begins now
      * @throws IOException if the socket is closed
      */
-    public CallerConnection(Socket socket, int maxHeadBytes) throws IOException {
+    public CallerConnection(Socket socket, IntSupplier maxHeadBytes) throws IOException {
         this.socket = socket;
         this.input = new ReadAheadInput(socket.getInputStream(), maxHeadBytes, true);
         this.output = socket.getOutputStream();
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/ReadAheadInput.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/ReadAheadInput.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.IntSupplier;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.io.HttpTransportMetrics;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
@@ -25,7 +26,7 @@
     private static final int MAX_BODY_LINES_BYTES = 8192;
 
     private final InputStream socketInput;
-    private final int maxHeadBytes;
+    private final IntSupplier maxHeadBytes;
     private final boolean requireCrLf;
     private final BasicHttpTransportMetrics metrics = new BasicHttpTransportMetrics();
 
@@ -35,13 +36,14 @@
     private CompletableFuture<Integer> readAhead;
     private boolean inHead;
     private int headBytes;
+    private int headLimitBytes;
     private int bodyLinesBytes;
 
     /**
-     * @param maxHeadBytes maximum size of a message head in bytes
+     * @param maxHeadBytes returns the maximum size in bytes of a message head that begins now
      * @param requireCrLf whether a line must end with CR LF and a folded header line is rejected
      */
-    ReadAheadInput(InputStream socketInput, int maxHeadBytes, boolean requireCrLf) {
+    ReadAheadInput(InputStream socketInput, IntSupplier maxHeadBytes, boolean requireCrLf) {
         this.socketInput = socketInput;
         this.maxHeadBytes = maxHeadBytes;
         this.requireCrLf = requireCrLf;
@@ -51,6 +53,7 @@
     void beginHead() {
         inHead = true;
         headBytes = 0;
+        headLimitBytes = maxHeadBytes.getAsInt();
         bodyLinesBytes = 0;
     }
 
@@ -200,8 +203,8 @@
 
     private void countLineByte() throws HeadTooLargeException, MalformedMessageException {
         if (inHead) {
-            if (++headBytes > maxHeadBytes) {
-                throw new HeadTooLargeException(maxHeadBytes);
+            if (++headBytes > headLimitBytes) {
+                throw new HeadTooLargeException(headLimitBytes);
             }
         } else if (++bodyLinesBytes > MAX_BODY_LINES_BYTES) {
             throw new MalformedMessageException(
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
@@ -9,7 +9,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.regex.Pattern;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -19,6 +18,7 @@
 import org.apache.hc.core5.http.impl.io.ContentLengthInputStream;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.impl.io.IdentityInputStream;
+import org.skylarkmast.http.StatusLines;
 
 /**
  * A connection to a runner that carries one exchange at a time.
@@ -37,15 +37,13 @@
     private static final Http1Config LIMITS =
             Http1Config.custom().setMaxHeaderCount(200).setMaxEmptyLineCount(1).build();
 
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}");
-
     private final Socket socket;
     private final ReadAheadInput input;
     private final OutputStream output;
 
     private RunnerConnection(Socket socket) throws IOException {
         this.socket = socket;
-        this.input = new ReadAheadInput(socket.getInputStream(), MAX_HEAD_BYTES, false);
+        this.input = new ReadAheadInput(socket.getInputStream(), () -> MAX_HEAD_BYTES, false);
         this.output = socket.getOutputStream();
     }
 
@@ -168,7 +166,7 @@
 
     /** Rejects a head that was cut off and runs on into the head of another answer. */
     private static void rejectStatusLine(String text) throws MalformedMessageException {
-        if (text != null && STATUS_LINE.matcher(text).find()) {
+        if (StatusLines.areIn(text)) {
             throw new MalformedMessageException("an answer begins within the head of another");
         }
     }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -153,7 +153,7 @@
     private void open(Socket socket) throws IOException {
         OpenConnection open =
                 new OpenConnection(
-                        new CallerConnection(socket, limits.get().maxHeadBytes()),
+                        new CallerConnection(socket, () -> limits.get().maxHeadBytes()),
                         new ConnectionActivity());
         openConnections.add(open);
         Thread.ofVirtual().start(() -> serve(socket, open));
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/http/CallerConnectionTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/http/CallerConnectionTest.java
@@ -29,7 +29,7 @@
         Socket[] sockets = connectedSockets();
         sockets[0].getOutputStream().write(raw.getBytes(StandardCharsets.ISO_8859_1));
         sockets[0].shutdownOutput();
-        return new CallerConnection(sockets[1], MAX_HEAD_BYTES);
+        return new CallerConnection(sockets[1], () -> MAX_HEAD_BYTES);
     }
 
     @ParameterizedTest(name = "{0}")
@@ -137,7 +137,7 @@
     @Test
     void detectsDisconnectWhileRequestIsProcessed() throws Exception {
         Socket[] sockets = connectedSockets();
-        CallerConnection connection = new CallerConnection(sockets[1], MAX_HEAD_BYTES);
+        CallerConnection connection = new CallerConnection(sockets[1], () -> MAX_HEAD_BYTES);
         sockets[0]
                 .getOutputStream()
                 .write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
@@ -151,7 +151,7 @@
     @Test
     void readAheadBytesBelongToTheNextRequest() throws Exception {
         Socket[] sockets = connectedSockets();
-        CallerConnection connection = new CallerConnection(sockets[1], MAX_HEAD_BYTES);
+        CallerConnection connection = new CallerConnection(sockets[1], () -> MAX_HEAD_BYTES);
         byte[] request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
         sockets[0].getOutputStream().write(request);
         connection.readHead();
