[relay] Expect a resumed stream on routes that may be resumed only

A caller that sends Last-Event-Id on another route got its stream broken off, since 'Break off a stream at what is no event of it': its runner begins at the first event there. streamOfACallerThatNamesAnEventIsComplete: 2 of 3 failed before, 3 of 3 pass.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestHandler.java
@@ -252,7 +252,7 @@
                 closeAfterAnswer,
                 tokensPerEvent,
                 recordsOutput,
-                call.lastEventId(),
+                route.resumable() ? call.lastEventId() : "",
                 this::answerFields);
     }
 
