--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/EventSequence.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/EventSequence.java
@@ -22,11 +22,15 @@
      * Returns the events that follow an event.
      *
      * @param lastEventId id of that event, empty if there is none with an id
+     * @param requestId id of the request whose answer the stream is
      */
-    static Part after(String lastEventId, List<EventSplitter.Event> events) {
+    static Part after(String lastEventId, List<EventSplitter.Event> events, String requestId) {
         String lastId = lastEventId;
         for (int i = 0; i < events.size(); i++) {
             EventSplitter.Event event = events.get(i);
+            if (SecondAnswer.isIn(event.bytes(), requestId)) {
+                return new Part(events.subList(0, i), "an answer begins within an event");
+            }
             if (!event.hasOnlyFields()) {
                 return new Part(events.subList(0, i), "a line is no field of an event");
             }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/RequestSender.java
@@ -329,9 +329,8 @@
                 start.writeBytes(block);
             }
             byte[] buffered = start.toByteArray();
-            if (answer.framing() instanceof Framing.UntilClose
-                    && SecondAnswer.isIn(buffered, request.requestId())) {
-                throw new IOException("a second answer follows one without length");
+            if (SecondAnswer.isIn(buffered, request.requestId())) {
+                throw new IOException("a second answer begins before the first one has ended");
             }
             if (block.length < BUFFER_BYTES) {
                 writeToCaller(() -> writer.writeComplete(answer, buffered));
@@ -353,7 +352,10 @@
         writeToCaller(() -> writer.beginStream(answer));
         for (int n = body.read(buffer); n >= 0; n = body.read(buffer)) {
             EventSequence.Part part =
-                    EventSequence.after(writer.precedingEventId(), splitter.append(buffer, n));
+                    EventSequence.after(
+                            writer.precedingEventId(),
+                            splitter.append(buffer, n),
+                            request.requestId());
             if (!part.events().isEmpty()) {
                 writeToCaller(() -> writer.writeEvents(part.events()));
             }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SecondAnswer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/SecondAnswer.java
@@ -1,14 +1,14 @@
 package org.skylarkmast.relay.forward;
 
 import java.nio.charset.StandardCharsets;
+import java.util.regex.Matcher;
+import org.skylarkmast.http.StatusLines;
 
 /**
- * Detects a second answer to a request behind the first one's body where that has no length, so
- * that nothing else tells its end.
+ * Detects a second answer to a request inside the first one's body: behind its end if it has no
+ * length, or in the place of the rest if the body was cut.
  */
 final class SecondAnswer {
-    private static final String STATUS_LINE_START = "HTTP/1.";
-
     /** Maximum length of a head that is searched for the request's id. */
     private static final int MAX_HEAD_CHARS = 16_384;
 
@@ -20,16 +20,16 @@
     /** Whether {@code body} contains the start of an answer's head that names the request. */
     static boolean isIn(byte[] body, String requestId) {
         String text = new String(body, StandardCharsets.ISO_8859_1);
-        int start = text.indexOf(STATUS_LINE_START);
-        for (int heads = 0; start >= 0 && heads < MAX_HEADS; heads++) {
+        Matcher line = StatusLines.in(text);
+        for (int heads = 0; heads < MAX_HEADS && line.find(); heads++) {
+            int start = line.start();
             String head = text.substring(start, Math.min(text.length(), start + MAX_HEAD_CHARS));
             if (head.lines()
                     .skip(1)
-                    .takeWhile(line -> !line.isEmpty())
-                    .anyMatch(line -> fieldValue(line).equals(requestId))) {
+                    .takeWhile(field -> !field.isEmpty())
+                    .anyMatch(field -> fieldValue(field).equals(requestId))) {
                 return true;
             }
-            start = text.indexOf(STATUS_LINE_START, start + 1);
         }
         return false;
     }
