--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Refusal.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/forward/Refusal.java
@@ -20,7 +20,7 @@
     private static final Set<Integer> NOT_RUN_STATUSES = Set.of(402, 404, 429, NOT_RUN);
 
     /** Statuses by which callers take a request for not run, whoever answers. */
-    private static final Set<Integer> PROMISING_STATUSES = Set.of(408, 421, 429, NOT_RUN);
+    private static final Set<Integer> PROMISING_STATUSES = Set.of(402, 408, 421, 429, NOT_RUN);
 
     /** Whether {@code status} alone promises callers that the request was not run. */
     static boolean promisesNotRun(int status) {
