--- a/skylarkmast-http/src/test/java/org/skylarkmast/http/ReviewedResponseTest.java
+++ b/skylarkmast-http/src/test/java/org/skylarkmast/http/HttpClientResponseEndTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Tests whole responses after which the connection ends, and heads that run on into another. */
-class ReviewedResponseTest {
+class HttpClientResponseEndTest {
 
     private static void respond(ServerSocket listener, String raw) {
         try (Socket socket = listener.accept()) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/Route.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/Route.java
@@ -60,6 +60,11 @@
         return kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAM && resumable);
     }
 
+    /** Whether the route names no service, since the configuration's could not be read. */
+    boolean isUnserved() {
+        return services.stream().allMatch(weighted -> weighted.service().isEmpty());
+    }
+
     /** Whether requests of this route may be sent to {@code service}. */
     public boolean sendsTo(String service) {
         return services.stream().anyMatch(weighted -> weighted.service().equals(service));
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/RoutingConfiguration.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/route/RoutingConfiguration.java
@@ -31,14 +31,16 @@
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>())
                     .add(route);
         }
-        // Longest prefix first, so that the first match is the most specific one.
+        // Longest prefix first, so that the first match is the most specific one; of equal ones
+        // those that a service serves.
         routesByHost
                 .values()
                 .forEach(
                         list ->
                                 list.sort(
-                                        Comparator.comparingInt(
-                                                route -> -route.pathPrefix().length())));
+                                        Comparator.<Route>comparingInt(
+                                                        route -> -route.pathPrefix().length())
+                                                .thenComparing(Route::isUnserved)));
     }
 
     public long version() {
