--- /dev/null
+++ b/review/standins-2/CaseMain.java
@@ -0,0 +1,44 @@
+import java.nio.file.Path;
+
+/** Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+final class CaseMain {
+    private CaseMain() {}
+
+    /** A case. */
+    interface Case {
+        /** Returns whether the rule held. */
+        boolean holds(Site site, boolean trouble) throws Exception;
+    }
+
+    private static int entryNodes(String name) {
+        return 2;
+    }
+
+    public static void main(String[] arguments) {
+        Path repository = Path.of(arguments[0]);
+        Path recordFile = Path.of(arguments[1]);
+        String name = arguments[2];
+        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        Case chosen = switch (name) {
+            case "long-history" -> LongHistoryCase::holds;
+            case "partial-event-budget" -> PartialEventBudgetCase::holds;
+            default -> throw new IllegalArgumentException("no such case: " + name);
+        };
+        int exit = 2;
+        try (Site site = new Site(repository, entryNodes(name), 3)) {
+            site.log("case " + name + ", TROUBLE=" + (trouble ? 1 : 0));
+            boolean held = false;
+            try {
+                held = chosen.holds(site, trouble);
+                exit = held ? 0 : 1;
+                site.log(held ? "the rule held" : "the rule was broken");
+            } catch (Exception e) {
+                site.log("the case could not run: " + e);
+            }
+            site.save(recordFile);
+        } catch (Exception e) {
+            e.printStackTrace();
+        }
+        System.exit(exit);
+    }
+}
