[review] A crowd whose prompts have many short parts

CONFIG: of the requests that are unanswered at the time limit, at least half are answered half a second later. Seen: 400 callers with heads of 15,500 bytes, below max_header_bytes, whose X-Prompt-Prefix has some 2,000 parts, keep an entry node from answering anything for 20 s; the same bytes in another field do not. The list of parts is not charged (PlatformDialect.parsePrompt), and the heap fills.

--- a/review/standins-2/CaseMain.java
+++ b/review/standins-2/CaseMain.java
@@ -22,6 +22,8 @@
         Case chosen = switch (name) {
             case "long-history" -> LongHistoryCase::holds;
             case "partial-event-budget" -> PartialEventBudgetCase::holds;
+            case "head-refusal" -> HeadRefusalCase::holds;
+            case "prompt-crowd" -> PromptCrowdCase::holds;
             default -> throw new IllegalArgumentException("no such case: " + name);
         };
         int exit = 2;
--- a/review/standins-2/RunnerStandIn.java
+++ b/review/standins-2/RunnerStandIn.java
@@ -73,7 +73,8 @@
             if (request.field("x-token-usage").isEmpty()) {
                 Thread.sleep(30);
                 byte[] body = ("done " + request.field("x-request-id")).getBytes(StandardCharsets.US_ASCII);
-                Wire.write(out, "HTTP/1.1 200 OK\r\n" + common + signature + "Content-Length: " + body.length + "\r\n\r\n", body);
+                Wire.write(out, "HTTP/1.1 200 OK\r\n" + common + signature + "Content-Length: " + body.length + "\r\n\r\n",
+                        request.start().startsWith("HEAD ") ? new byte[0] : body);
                 return;
             }
             Wire.write(out, "HTTP/1.1 200 OK\r\n" + common + signature
