[review] Requests sent ahead that run after their callers have left

GONE: after a caller has closed its channel, no more than a few requests reach a runner over half a second later. Seen: of two requests on one channel, the second reaches a runner 1.7 s after the close, as the read-ahead that detects a close ends with the bytes of the second request (ReadAheadInput.startReadAhead).

--- a/review/standins-2/CaseMain.java
+++ b/review/standins-2/CaseMain.java
@@ -23,6 +23,7 @@
             case "long-history" -> LongHistoryCase::holds;
             case "partial-event-budget" -> PartialEventBudgetCase::holds;
             case "head-refusal" -> HeadRefusalCase::holds;
+            case "sent-ahead" -> SentAheadCase::holds;
             case "prompt-crowd" -> PromptCrowdCase::holds;
             default -> throw new IllegalArgumentException("no such case: " + name);
         };
--- a/review/standins-2/RunnerStandIn.java
+++ b/review/standins-2/RunnerStandIn.java
@@ -20,6 +20,7 @@
     private final List<Run> runs = new CopyOnWriteArrayList<>();
     private volatile int events = 9;
     private volatile long eventPauseMs = 20;
+    private volatile long workMs = 30;
 
     /** A request that began to run. */
     record Run(String requestId, String path, int bodyBytes, int bodyHash, long atNs) {}
@@ -41,6 +42,11 @@
         eventPauseMs = pauseMs;
     }
 
+    /** Sets how long a request that is no stream takes. */
+    void setWork(long ms) {
+        workMs = ms;
+    }
+
     List<Run> runs() {
         return runs;
     }
@@ -71,7 +77,7 @@
                     java.util.Arrays.hashCode(request.body()), System.nanoTime()));
             String signature = "X-Server-Signature: s." + request.field("x-request-id") + "\r\n";
             if (request.field("x-token-usage").isEmpty()) {
-                Thread.sleep(30);
+                Thread.sleep(workMs);
                 byte[] body = ("done " + request.field("x-request-id")).getBytes(StandardCharsets.US_ASCII);
                 Wire.write(out, "HTTP/1.1 200 OK\r\n" + common + signature + "Content-Length: " + body.length + "\r\n\r\n",
                         request.start().startsWith("HEAD ") ? new byte[0] : body);
