[review] A path with several slashes runs on a route; a silent channel keeps an old configuration

UNASKED: no runner runs a request with a changed path. Seen: POST ///once/x, which matches no route, is run as /once/x, since HttpCore drops the empty authority (CallerConnection.readHead). CONFIG: no request is handled by an older version later than config_apply_ms after the acknowledgement, by machines in touch. Seen: after the channels to the store went silent, the old version is in use for 3.6 s (PlatformStore.WATCH_WAIT_MS).

--- a/review/standins-2/CaseMain.java
+++ b/review/standins-2/CaseMain.java
@@ -23,6 +23,8 @@
             case "long-history" -> LongHistoryCase::holds;
             case "partial-event-budget" -> PartialEventBudgetCase::holds;
             case "head-refusal" -> HeadRefusalCase::holds;
+            case "leading-slashes" -> LeadingSlashesCase::holds;
+            case "silent-store" -> SilentStoreCase::holds;
             case "sent-ahead" -> SentAheadCase::holds;
             case "prompt-crowd" -> PromptCrowdCase::holds;
             default -> throw new IllegalArgumentException("no such case: " + name);
--- a/review/standins-2/RunnerStandIn.java
+++ b/review/standins-2/RunnerStandIn.java
@@ -18,6 +18,7 @@
     private final Semaphore slots;
     private final int slotCount;
     private final List<Run> runs = new CopyOnWriteArrayList<>();
+    private final java.util.Set<java.net.Socket> connections = java.util.concurrent.ConcurrentHashMap.newKeySet();
     private volatile int events = 9;
     private volatile long eventPauseMs = 20;
     private volatile long workMs = 30;
@@ -30,8 +31,13 @@
         this.slotCount = slotCount;
         this.slots = new Semaphore(slotCount, true);
         this.listener = Wire.listen(ip, 0, (socket, in, out) -> {
-            for (Wire.Message request = Wire.message(in); request != null; request = Wire.message(in)) {
-                serve(request, out);
+            connections.add(socket);
+            try {
+                for (Wire.Message request = Wire.message(in); request != null; request = Wire.message(in)) {
+                    serve(request, out);
+                }
+            } finally {
+                connections.remove(socket);
             }
         });
     }
@@ -96,6 +102,14 @@
         }
     }
 
+    /** Ends as a process that is killed: its listener and its connections close. */
+    void crash() throws IOException {
+        listener.close();
+        for (java.net.Socket socket : connections) {
+            socket.close();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -11,6 +11,7 @@
     static final String HOST = "ficu95.example";
 
     final StoreStandIn store;
+    final SilencingProxy pathToStore;
     final List<Node> entries = new ArrayList<>();
     final List<Node> keepers = new ArrayList<>();
     final List<RunnerStandIn> models = new ArrayList<>();
@@ -27,6 +28,7 @@
         String base = "127." + ThreadLocalRandom.current().nextInt(20, 120) + ".";
         int subnet = ThreadLocalRandom.current().nextInt(1, 250);
         store = new StoreStandIn("127.0.0.1");
+        pathToStore = new SilencingProxy("127.0.0.1", store.address());
         store.put("op/config", configuration(1, "app"));
         for (int i = 0; i < 2; i++) {
             RunnerStandIn model = new RunnerStandIn(base + subnet + ".20" + i, "i-model-" + i, 16);
@@ -39,11 +41,11 @@
         store.put("servers/i-other", otherService.entry("other", "zone-a"));
         for (int i = 0; i < keeperCount; i++) {
             keepers.add(new Node(repository, folder, true, "storage-" + (char) ('a' + i) + "-1", "zone-" + (char) ('a' + i),
-                    base + subnet + "." + (10 + i), store.address(), 1, 300));
+                    base + subnet + "." + (10 + i), pathToStore.address(), 1, 300));
         }
         for (int i = 0; i < entryCount; i++) {
             entries.add(new Node(repository, folder, false, "front-" + (char) ('a' + i) + "-1", "zone-" + (char) ('a' + i),
-                    base + subnet + "." + (100 + i), store.address(), 1, 280));
+                    base + subnet + "." + (100 + i), pathToStore.address(), 1, 280));
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::killNodes));
         for (Node node : keepers) {
@@ -128,6 +130,7 @@
         }
         service.close();
         otherService.close();
+        pathToStore.close();
         store.close();
         if (System.getenv("KEEP") == null) {
             try (var files = Files.walk(folder)) {
