--- a/review/standins-2/CaseMain.java
+++ b/review/standins-2/CaseMain.java
@@ -10,9 +10,8 @@
         boolean holds(Site site, boolean trouble) throws Exception;
     }
 
-    private static int entryNodes(String name) {
-        return 2;
-    }
+    private static final int ENTRY_NODES = 2;
+    private static final int STORAGE_NODES = 3;
 
     public static void main(String[] arguments) {
         Path repository = Path.of(arguments[0]);
@@ -20,17 +19,15 @@
         String name = arguments[2];
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Case chosen = switch (name) {
+            case "retirement" -> RetirementCase::holds;
             case "long-history" -> LongHistoryCase::holds;
             case "partial-event-budget" -> PartialEventBudgetCase::holds;
-            case "head-refusal" -> HeadRefusalCase::holds;
             case "leading-slashes" -> LeadingSlashesCase::holds;
-            case "silent-store" -> SilentStoreCase::holds;
-            case "sent-ahead" -> SentAheadCase::holds;
             case "prompt-crowd" -> PromptCrowdCase::holds;
             default -> throw new IllegalArgumentException("no such case: " + name);
         };
         int exit = 2;
-        try (Site site = new Site(repository, entryNodes(name), 3)) {
+        try (Site site = new Site(repository, ENTRY_NODES, name.equals("retirement") ? STORAGE_NODES + 1 : STORAGE_NODES)) {
             site.log("case " + name + ", TROUBLE=" + (trouble ? 1 : 0));
             boolean held = false;
             try {
--- a/review/standins-2/Node.java
+++ b/review/standins-2/Node.java
@@ -44,6 +44,11 @@
         values.put("limits.max_fds", storage ? "8200" : "4100");
     }
 
+    /** Sets whether the settings say that the whole system starts for the first time. */
+    void setFirstStart(boolean firstStart) {
+        values.put("bootstrap", Boolean.toString(firstStart));
+    }
+
     String name() {
         return values.get("node");
     }
--- a/review/standins-2/RunnerStandIn.java
+++ b/review/standins-2/RunnerStandIn.java
@@ -12,16 +12,15 @@
  */
 final class RunnerStandIn implements AutoCloseable {
     private static final int QUEUE = 48;
+    private static final long WORK_MS = 30;
 
     private final String id;
     private final ServerSocket listener;
     private final Semaphore slots;
     private final int slotCount;
     private final List<Run> runs = new CopyOnWriteArrayList<>();
-    private final java.util.Set<java.net.Socket> connections = java.util.concurrent.ConcurrentHashMap.newKeySet();
     private volatile int events = 9;
     private volatile long eventPauseMs = 20;
-    private volatile long workMs = 30;
 
     /** A request that began to run. */
     record Run(String requestId, String path, int bodyBytes, int bodyHash, long atNs) {}
@@ -31,13 +30,8 @@
         this.slotCount = slotCount;
         this.slots = new Semaphore(slotCount, true);
         this.listener = Wire.listen(ip, 0, (socket, in, out) -> {
-            connections.add(socket);
-            try {
-                for (Wire.Message request = Wire.message(in); request != null; request = Wire.message(in)) {
-                    serve(request, out);
-                }
-            } finally {
-                connections.remove(socket);
+            for (Wire.Message request = Wire.message(in); request != null; request = Wire.message(in)) {
+                serve(request, out);
             }
         });
     }
@@ -48,11 +42,6 @@
         eventPauseMs = pauseMs;
     }
 
-    /** Sets how long a request that is no stream takes. */
-    void setWork(long ms) {
-        workMs = ms;
-    }
-
     List<Run> runs() {
         return runs;
     }
@@ -83,10 +72,9 @@
                     java.util.Arrays.hashCode(request.body()), System.nanoTime()));
             String signature = "X-Server-Signature: s." + request.field("x-request-id") + "\r\n";
             if (request.field("x-token-usage").isEmpty()) {
-                Thread.sleep(workMs);
+                Thread.sleep(WORK_MS);
                 byte[] body = ("done " + request.field("x-request-id")).getBytes(StandardCharsets.US_ASCII);
-                Wire.write(out, "HTTP/1.1 200 OK\r\n" + common + signature + "Content-Length: " + body.length + "\r\n\r\n",
-                        request.start().startsWith("HEAD ") ? new byte[0] : body);
+                Wire.write(out, "HTTP/1.1 200 OK\r\n" + common + signature + "Content-Length: " + body.length + "\r\n\r\n", body);
                 return;
             }
             Wire.write(out, "HTTP/1.1 200 OK\r\n" + common + signature
@@ -102,14 +90,6 @@
         }
     }
 
-    /** Ends as a process that is killed: its listener and its connections close. */
-    void crash() throws IOException {
-        listener.close();
-        for (java.net.Socket socket : connections) {
-            socket.close();
-        }
-    }
-
     @Override
     public void close() throws IOException {
         listener.close();
--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -11,24 +11,25 @@
     static final String HOST = "ficu95.example";
 
     final StoreStandIn store;
-    final SilencingProxy pathToStore;
     final List<Node> entries = new ArrayList<>();
     final List<Node> keepers = new ArrayList<>();
     final List<RunnerStandIn> models = new ArrayList<>();
     final RunnerStandIn service;
-    final RunnerStandIn otherService;
     private final Path folder;
+    private final Path repository;
+    private final String network;
     private final StringBuilder record = new StringBuilder();
     private final long startedNs = System.nanoTime();
 
     /** Starts the deployment and waits until its entry nodes are ready. */
     Site(Path repository, int entryCount, int keeperCount) throws Exception {
+        this.repository = repository;
         folder = Files.createTempDirectory("review-2-");
         // Hosts of one zone share the first two numbers of their addresses.
         String base = "127." + ThreadLocalRandom.current().nextInt(20, 120) + ".";
         int subnet = ThreadLocalRandom.current().nextInt(1, 250);
+        network = base + subnet + ".";
         store = new StoreStandIn("127.0.0.1");
-        pathToStore = new SilencingProxy("127.0.0.1", store.address());
         store.put("op/config", configuration(1, "app"));
         for (int i = 0; i < 2; i++) {
             RunnerStandIn model = new RunnerStandIn(base + subnet + ".20" + i, "i-model-" + i, 16);
@@ -37,15 +38,13 @@
         }
         service = new RunnerStandIn(base + subnet + ".210", "i-app", 16);
         store.put("servers/i-app", service.entry("app", "zone-a"));
-        otherService = new RunnerStandIn(base + subnet + ".211", "i-other", 16);
-        store.put("servers/i-other", otherService.entry("other", "zone-a"));
         for (int i = 0; i < keeperCount; i++) {
             keepers.add(new Node(repository, folder, true, "storage-" + (char) ('a' + i) + "-1", "zone-" + (char) ('a' + i),
-                    base + subnet + "." + (10 + i), pathToStore.address(), 1, 300));
+                    base + subnet + "." + (10 + i), store.address(), 1, 300));
         }
         for (int i = 0; i < entryCount; i++) {
             entries.add(new Node(repository, folder, false, "front-" + (char) ('a' + i) + "-1", "zone-" + (char) ('a' + i),
-                    base + subnet + "." + (100 + i), pathToStore.address(), 1, 280));
+                    base + subnet + "." + (100 + i), store.address(), 1, 280));
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::killNodes));
         for (Node node : keepers) {
@@ -64,6 +63,15 @@
         log("deployment of " + entryCount + " entry nodes and " + keeperCount + " storage nodes is ready");
     }
 
+    /** Starts a storage node on a host that was not there before. */
+    Node addKeeper(String name, String zone) throws IOException {
+        Node node = new Node(repository, folder, true, name, zone, network + (10 + keepers.size()), store.address(), 1, 300);
+        node.setFirstStart(false);
+        keepers.add(node);
+        node.start();
+        return node;
+    }
+
     private void killNodes() {
         for (List<Node> nodes : List.of(entries, keepers)) {
             for (Node node : nodes) {
@@ -129,8 +137,6 @@
             model.close();
         }
         service.close();
-        otherService.close();
-        pathToStore.close();
         store.close();
         if (System.getenv("KEEP") == null) {
             try (var files = Files.walk(folder)) {
