--- a/review/standins-2/Caller.java
+++ b/review/standins-2/Caller.java
@@ -25,7 +25,15 @@
         return head.append("\r\n").toString();
     }
 
-    static Answer send(Node entry, String method, String path, long deadlineMs, Map<String, String> fields, byte[] body) {
+    /** Sends a request and records it with its answer. */
+    static Answer send(Site site, Node entry, String method, String path, long deadlineMs, Map<String, String> fields, byte[] body) {
+        Answer answer = exchange(entry, method, path, deadlineMs, fields, body);
+        site.log("sent " + answer.requestId() + " " + method + " " + path + " to " + entry.name() + ", " + body.length + " bytes; answered "
+                + (answer.status() == 0 ? "nothing: " + answer.text().strip() : answer.status() + "") + " after " + answer.tookMs() + " ms");
+        return answer;
+    }
+
+    private static Answer exchange(Node entry, String method, String path, long deadlineMs, Map<String, String> fields, byte[] body) {
         String id = newId();
         long beganNs = System.nanoTime();
         try (Socket socket = Wire.connect(entry.front(), (int) deadlineMs + 500)) {
--- a/review/standins-2/CaseMain.java
+++ b/review/standins-2/CaseMain.java
@@ -18,29 +18,34 @@
         Path recordFile = Path.of(arguments[1]);
         String name = arguments[2];
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Case chosen = switch (name) {
-            case "retirement" -> RetirementCase::holds;
-            case "long-history" -> LongHistoryCase::holds;
-            case "partial-event-budget" -> PartialEventBudgetCase::holds;
-            case "leading-slashes" -> LeadingSlashesCase::holds;
-            case "prompt-crowd" -> PromptCrowdCase::holds;
-            default -> throw new IllegalArgumentException("no such case: " + name);
-        };
         int exit = 2;
         try (Site site = new Site(repository, ENTRY_NODES, name.equals("retirement") ? STORAGE_NODES + 1 : STORAGE_NODES)) {
             site.log("case " + name + ", TROUBLE=" + (trouble ? 1 : 0));
-            boolean held = false;
             try {
-                held = chosen.holds(site, trouble);
+                boolean held = named(name).holds(site, trouble);
                 exit = held ? 0 : 1;
                 site.log(held ? "the rule held" : "the rule was broken");
             } catch (Exception e) {
                 site.log("the case could not run: " + e);
             }
+            site.logRuns();
             site.save(recordFile);
-        } catch (Exception e) {
+        } catch (Throwable e) {
+            // The JVM's own exit code for an uncaught error would say that the rule was broken.
+            exit = 2;
             e.printStackTrace();
         }
         System.exit(exit);
     }
+
+    private static Case named(String name) {
+        return switch (name) {
+            case "retirement" -> RetirementCase::holds;
+            case "long-history" -> LongHistoryCase::holds;
+            case "partial-event-budget" -> PartialEventBudgetCase::holds;
+            case "leading-slashes" -> LeadingSlashesCase::holds;
+            case "prompt-crowd" -> PromptCrowdCase::holds;
+            default -> throw new IllegalArgumentException("no such case: " + name);
+        };
+    }
 }
--- a/review/standins-2/LeadingSlashesCase.java
+++ b/review/standins-2/LeadingSlashesCase.java
@@ -15,7 +15,7 @@
         for (int number = 1; number <= REQUESTS; number++) {
             String path = (trouble ? "///once/order-" : "/once/order-") + number;
             Node entry = site.entries.get(number % site.entries.size());
-            Caller.Answer answer = Caller.send(entry, "POST", path, 3000, Map.of(), "one saddle".getBytes(StandardCharsets.US_ASCII));
+            Caller.Answer answer = Caller.send(site, entry, "POST", path, 3000, Map.of(), "one saddle".getBytes(StandardCharsets.US_ASCII));
             String ran = site.service.runs().stream()
                     .filter(run -> run.requestId().equals(answer.requestId()))
                     .map(RunnerStandIn.Run::path)
@@ -23,6 +23,9 @@
                     .orElse("");
             site.log("POST " + path + " " + answer.requestId() + " at " + entry.name() + ": status " + answer.status()
                     + (ran.isEmpty() ? ", not run" : ", run as " + ran));
+            if (answer.status() == 0) {
+                throw new IllegalStateException("no answer: " + answer.text());
+            }
             held &= ran.isEmpty() || ran.equals(path);
         }
         return held;
--- a/review/standins-2/LongHistoryCase.java
+++ b/review/standins-2/LongHistoryCase.java
@@ -31,7 +31,7 @@
             while (!whole && tries < TRIES) {
                 Node entry = site.entries.get(tries++ % site.entries.size());
                 Caller.Answer answer =
-                        Caller.send(entry, "POST", "/turn/x", 4000, Turns.fields("p-long", "s-long", 100_000, 80, previous), input);
+                        Caller.send(site, entry, "POST", "/turn/x", 4000, Turns.fields("p-long", "s-long", 100_000, 80, previous), input);
                 whole = answer.status() == 200 && answer.whole();
                 boolean ran = site.models.stream().flatMap(model -> model.runs().stream())
                         .anyMatch(run -> run.requestId().equals(answer.requestId()));
@@ -42,7 +42,7 @@
                 if (whole) {
                     previous = answer.requestId();
                 }
-                Caller.Answer other = Caller.send(entry, "POST", "/turn/x", 4000,
+                Caller.Answer other = Caller.send(site, entry, "POST", "/turn/x", 4000,
                         Turns.fields("p-" + turn + "-" + tries, "s", 1000, 80, ""), "hello".getBytes(StandardCharsets.US_ASCII));
                 otherFirstTurns++;
                 otherFirstTurnsServed += other.status() == 200 ? 1 : 0;
@@ -54,11 +54,13 @@
                 for (Node node : site.entries) {
                     site.log(node.name() + " is alive: " + node.isAlive() + ", ready: " + node.isReady());
                 }
-                return otherFirstTurnsServed < otherFirstTurns * 0.9;
+                if (otherFirstTurnsServed < otherFirstTurns * 0.9) {
+                    throw new IllegalStateException("too few first turns were served to judge");
+                }
+                return false;
             }
             if (!whole) {
-                site.log("turn " + turn + " was not answered whole");
-                return true;
+                throw new IllegalStateException("turn " + turn + " was not answered whole");
             }
         }
         return true;
--- a/review/standins-2/PartialEventBudgetCase.java
+++ b/review/standins-2/PartialEventBudgetCase.java
@@ -25,7 +25,7 @@
         for (int agent = 1; agent <= PARALLEL_TURNS; agent++) {
             String session = "s-" + agent;
             Node entry = site.entries.get(agent % site.entries.size());
-            calls.add(() -> Caller.send(entry, "POST", "/turn/x", 4000,
+            calls.add(() -> Caller.send(site, entry, "POST", "/turn/x", 4000,
                     Turns.fields("p-agents", session, budget, mostTokens, ""), session.getBytes()));
         }
         site.log("budget " + budget + ", " + PARALLEL_TURNS + " turns at once, each of at most " + mostTokens + " tokens");
@@ -38,6 +38,9 @@
                 site.log(answer.requestId() + ": status " + answer.status() + ", " + received + " events");
             }
         }
+        if (handedOut == 0) {
+            throw new IllegalStateException("no turn was served");
+        }
         // The most of one turn, rounded up to whole events.
         long bound = budget + (long) events * TOKENS_PER_EVENT;
         site.log("tokens handed out, " + TOKENS_PER_EVENT + " for each event: " + handedOut + "; bound " + bound);
--- a/review/standins-2/PromptCrowdCase.java
+++ b/review/standins-2/PromptCrowdCase.java
@@ -71,15 +71,19 @@
         sleep(6000);
         new TreeMap<>(ends).forEach((end, count) -> site.log(end + ": " + count));
         site.log("unanswered at the route's time limit: " + unansweredAtLimit + ", half a second later: " + unansweredLater);
+        if (ends.keySet().stream().allMatch(end -> end.contains("not connected"))) {
+            throw new IllegalStateException("no request was sent");
+        }
         return unansweredAtLimit.get() < MIN_UNANSWERED || 2 * unansweredLater.get() <= unansweredAtLimit.get();
     }
 
     private void send(String kind, String path, int limitMs, Map<String, String> fields) {
         String end;
+        String id = Caller.newId();
         try (Socket socket = Wire.connect(entry.front(), limitMs + 600)) {
             byte[] body = path.startsWith("/safe") ? new byte[0] : "next".getBytes();
             Wire.write(socket.getOutputStream(),
-                    Caller.head(path.startsWith("/safe") ? "GET" : "POST", path, Caller.newId(), limitMs, fields, body.length), body);
+                    Caller.head(path.startsWith("/safe") ? "GET" : "POST", path, id, limitMs, fields, body.length), body);
             long sentNs = System.nanoTime();
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
             try {
@@ -99,6 +103,7 @@
             end = "not connected or not sent: " + e.getClass().getSimpleName();
             sleep(100);
         }
+        site.log("sent " + id + " " + kind + " " + path + "; answered " + end);
         ends.computeIfAbsent(kind + " " + path + " " + end, key -> new AtomicInteger()).incrementAndGet();
     }
 
--- a/review/standins-2/RetirementCase.java
+++ b/review/standins-2/RetirementCase.java
@@ -40,7 +40,7 @@
             String program = "p-" + i + "-";
             callers.add(Thread.ofVirtual().start(() -> {
                 for (int n = 0; !ended.get(); n++) {
-                    Caller.Answer answer = Caller.send(entry, "POST", "/turn/x", 4000,
+                    Caller.Answer answer = Caller.send(site, entry, "POST", "/turn/x", 4000,
                             Turns.fields(program + n, "s", 1000, 80, ""), "hello".getBytes(StandardCharsets.US_ASCII));
                     asked.incrementAndGet();
                     served.addAndGet(answer.status() == 200 ? 1 : 0);
@@ -79,7 +79,10 @@
         for (Thread caller : callers) {
             caller.join();
         }
-        return before < 0.25 || after >= 0.25;
+        if (before < 0.25) {
+            throw new IllegalStateException("too few turns were served before to judge");
+        }
+        return after >= 0.25;
     }
 
     private void logState(Node retired) {
--- a/review/standins-2/RunnerStandIn.java
+++ b/review/standins-2/RunnerStandIn.java
@@ -42,6 +42,10 @@
         eventPauseMs = pauseMs;
     }
 
+    String id() {
+        return id;
+    }
+
     List<Run> runs() {
         return runs;
     }
--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -116,6 +116,18 @@
         record.append("%8.3f %s%n".formatted((System.nanoTime() - startedNs) / 1e9, line));
     }
 
+    /** Records what the runners ran. */
+    void logRuns() {
+        List<RunnerStandIn> runners = new ArrayList<>(models);
+        runners.add(service);
+        for (RunnerStandIn runner : runners) {
+            for (RunnerStandIn.Run run : runner.runs()) {
+                log("%s ran %s %s, %d bytes, at %.3f".formatted(
+                        runner.id(), run.requestId(), run.path(), run.bodyBytes(), (run.atNs() - startedNs) / 1e9));
+            }
+        }
+    }
+
     /** Writes the record of the run. */
     synchronized void save(Path file) throws IOException {
         Files.writeString(file, record.toString());
