--- a/review/standins-3/Kit.java
+++ b/review/standins-3/Kit.java
@@ -608,10 +608,26 @@
         private final Path folder;
         private final String zone;
         private final String storeAddress;
+        private final boolean bootstrap;
         private Process process;
         private int starts;
 
         Node(boolean keeper, String zone, int zoneNumber, int host, Path root, String store) {
+            this(keeper, zone, zoneNumber, host, root, store, true);
+        }
+
+        /**
+         * @param bootstrap whether the first start of this node is one of the whole system
+         */
+        Node(
+                boolean keeper,
+                String zone,
+                int zoneNumber,
+                int host,
+                Path root,
+                String store,
+                boolean bootstrap) {
+            this.bootstrap = bootstrap;
             this.keeper = keeper;
             this.zone = zone;
             this.name = (keeper ? "storage-" : "front-") + zone + "-" + host;
@@ -652,7 +668,7 @@
         void start(Path repository) throws IOException {
             Files.createDirectories(folder);
             Path settings = folder.resolve("node.json");
-            Files.writeString(settings, settings(starts++ == 0));
+            Files.writeString(settings, settings(bootstrap && starts++ == 0));
             ProcessBuilder builder = new ProcessBuilder(command(repository));
             builder.directory(repository.toFile());
             Map<String, String> environment = builder.environment();
@@ -727,6 +743,11 @@
 
     private static final List<Process> ALL = Collections.synchronizedList(new ArrayList<>());
 
+    static {
+        // Also if the script itself is ended.
+        Runtime.getRuntime().addShutdownHook(new Thread(Kit::endAll));
+    }
+
     /** Ends all processes that the script started. */
     static void endAll() {
         for (Process process : ALL) {
