[review] Stand-in runners tell their load, and nodes get free addresses

With a load of zero in all answers one runner got most requests, so few answers were cut. Ports come from below the range of clients' ports: a run could not start its nodes (exit code 2) as one was taken.

--- a/review/standins-3/CutAndLate.java
+++ b/review/standins-3/CutAndLate.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -16,12 +17,12 @@
  * late, where the next answer is expected.
  */
 final class CutAndLate {
-    private static final int CALLERS = 6;
-    private static final int REQUESTS = 150;
+    private static final int CALLERS = 12;
+    private static final int REQUESTS = 120;
     private static final int RUNNERS = 6;
     private static final int FAULTY_RUNNERS = 3;
 
-    /** Every how many answers of a faulty runner one is cut: 2 in 100. */
+    /** Least number of answers of a faulty runner from one that is cut to the next: 2 in 100. */
     private static final int CUT_EVERY = 50;
 
     /** Longest time for which runners are faulty. */
@@ -80,7 +81,7 @@
         @Override
         boolean run(Kit.Message request, Map<String, String> fields, Socket channel)
                 throws IOException, InterruptedException {
-            Thread.sleep(8);
+            Thread.sleep(ThreadLocalRandom.current().nextInt(15, 40));
             String requestId = request.field("x-request-id");
             StringBuilder body = new StringBuilder("job card of " + requestId + ": ");
             while (body.length() < 800) {
@@ -92,11 +93,9 @@
             OutputStream out = channel.getOutputStream();
             byte[] before = lastAnswers.put(channel, answer);
             record.add("runner " + id + " runs " + requestId);
-            boolean fails =
-                    faulty
-                            && Kit.nowMs() < faultyUntilMs
-                            && answers.incrementAndGet() % CUT_EVERY == 0;
-            if (fails && before != null) {
+            boolean due = answers.incrementAndGet() >= CUT_EVERY;
+            if (faulty && due && before != null && Kit.nowMs() < faultyUntilMs) {
+                answers.set(0);
                 // The answer is cut 300 bytes before its end; the copy comes a little later.
                 out.write(Arrays.copyOf(answer, answer.length - 300));
                 record.add("runner " + id + " cuts its answer to " + requestId);
--- a/review/standins-3/Kit.java
+++ b/review/standins-3/Kit.java
@@ -600,7 +600,11 @@
 
     /** A node of the project, started with the command of the deploy file. */
     static final class Node {
-        static final int[] PORTS = freePorts();
+        /** Ports for other nodes, callers and readiness checks, below those that clients get. */
+        static final int[] PORTS = {7380, 8149, 8141};
+
+        /** The port of `metrics` in the deploy file. */
+        private static final int METRICS_PORT = 9464;
 
         final String name;
         final String ip;
@@ -636,16 +640,34 @@
             this.storeAddress = store;
         }
 
-        static final int NETWORK = ThreadLocalRandom.current().nextInt(1, 250);
+        /** The third number of all addresses: one with which the nodes' ports are free. */
+        static final int NETWORK = freeNetwork();
 
-        private static int[] freePorts() {
-            try (ServerSocket a = new ServerSocket(0);
-                    ServerSocket b = new ServerSocket(0);
-                    ServerSocket c = new ServerSocket(0)) {
-                return new int[] {a.getLocalPort(), b.getLocalPort(), c.getLocalPort()};
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
+        private static int freeNetwork() {
+            for (int tries = 0; tries < 50; tries++) {
+                int network = ThreadLocalRandom.current().nextInt(1, 250);
+                if (isFree(network)) {
+                    return network;
+                }
             }
+            throw new IllegalStateException("no free addresses");
+        }
+
+        private static boolean isFree(int network) {
+            for (int zone = 1; zone <= 3; zone++) {
+                for (int host = 2; host <= 4; host++) {
+                    for (int port : new int[] {PORTS[0], PORTS[1], PORTS[2], METRICS_PORT}) {
+                        String address = "127." + (100 + zone) + "." + network + "." + host;
+                        try (ServerSocket socket = new ServerSocket()) {
+                            socket.setReuseAddress(true);
+                            socket.bind(new InetSocketAddress(address, port));
+                        } catch (IOException e) {
+                            return false;
+                        }
+                    }
+                }
+            }
+            return true;
         }
 
         InetSocketAddress callers() {
--- a/review/standins-3/Runner.java
+++ b/review/standins-3/Runner.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A sound runner of a plain service or of a model. */
 class Runner {
@@ -16,6 +17,7 @@
     private final String zone;
     private volatile String state = "ready";
     private volatile boolean registers = true;
+    private final AtomicInteger running = new AtomicInteger();
     private int sequence;
 
     /** A request that the runner began to run. */
@@ -72,7 +74,6 @@
         Map<String, String> fields = new LinkedHashMap<>();
         String requestId = request.field("x-request-id");
         fields.put("X-Request-Id", requestId);
-        fields.put("X-Server-Load", "0,0,8");
         fields.put("Keep-Alive", "timeout=5");
         if (!request.field("x-expect-instance").equals(id)) {
             fields.put("X-Not-Executed", "1");
@@ -81,7 +82,12 @@
         }
         runs.add(new Run(Kit.nowMs(), requestId, request.path(), request.text()));
         fields.put("X-Server-Signature", "sig." + requestId);
-        return run(request, fields, channel);
+        fields.put("X-Server-Load", running.incrementAndGet() + ",0,8");
+        try {
+            return run(request, fields, channel);
+        } finally {
+            running.decrementAndGet();
+        }
     }
 
     /** Runs a request and answers it; returns whether the channel goes on. */
