--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec bash "$(dirname "${BASH_SOURCE[0]}")/../run-case-4.sh" RebornCase review/11
