[http] Reject responses with a malformed field

Callers got answers whose head had a field with a blank or a control byte in its name: with the line passed on, joined to the value of the field before it, or, where the field was Content-Length, with a body of another length. HttpCore's parser joins a line that begins with a blank to the line before, takes a lone line feed for the end of a line (and so of the head, if it precedes a name), and lets nearly all other bytes pass. RunnerConnection, which reads the answers of runners and of other entry nodes, and HttpClient, which the daemon, the tools, and the clients of the store and the storage nodes use, relied on it.

ResponseInput now checks each line of a head as it arrives, before the parser sees it, for both: a name is a token, a value has no control character but tabs, and no line is folded. FieldSyntax is the former check of callers' requests, which uses it as well. LineEnds requires all lines to end alike; responses whose lines all end with a line feed are accepted as before. A malformed answer breaks the exchange: 502, or another runner where the route allows it.

--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
@@ -303,7 +303,7 @@
         idle.addFirst(new IdleConnection(connection, System.nanoTime()));
     }
 
-    /** A connection that takes no response for whole that ends inside its head or trailers. */
+    /** A connection that accepts complete responses with a well-formed head only. */
     private static final class ClientConnection extends DefaultBHttpClientConnection {
         private final Socket socket;
         private final ResponseParser parser;
@@ -349,22 +349,7 @@
         public ClassicHttpResponse parse(SessionInputBuffer buffer, InputStream in)
                 throws IOException, HttpException {
             lastInput = buffer;
-            ClassicHttpResponse response = super.parse(CompleteLineInput.ofHead(buffer), in);
-            if (response != null) {
-                rejectStatusLine(response.getReasonPhrase());
-                for (Header header : response.getHeaders()) {
-                    rejectStatusLine(header.getName());
-                    rejectStatusLine(header.getValue());
-                }
-            }
-            return response;
-        }
-
-        /** Rejects a head that was cut off and runs on into the head of another response. */
-        private static void rejectStatusLine(String text) throws ProtocolException {
-            if (StatusLines.areIn(text)) {
-                throw new ProtocolException("a response begins within the head of another");
-            }
+            return super.parse(ResponseInput.ofHead(CompleteLineInput.ofResponseHead(buffer)), in);
         }
 
         /** Returns the number of bytes that were received and not yet read. */
--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/ServerConnection.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/ServerConnection.java
@@ -96,7 +96,7 @@
         @Override
         public ClassicHttpRequest parse(SessionInputBuffer buffer, InputStream in)
                 throws IOException, HttpException {
-            return super.parse(CompleteLineInput.ofHead(buffer, meter), in);
+            return super.parse(CompleteLineInput.ofRequestHead(buffer, meter), in);
         }
     }
 }
--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/StatusLines.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/StatusLines.java
@@ -11,12 +11,12 @@
     private StatusLines() {}
 
     /** Returns whether {@code text}, a part of a head, contains the start of another head. */
-    public static boolean areIn(String text) {
+    public static boolean areIn(CharSequence text) {
         return text != null && in(text).find();
     }
 
     /** Returns a matcher that finds the status lines of {@code text}. */
-    public static Matcher in(String text) {
+    public static Matcher in(CharSequence text) {
         return STATUS_LINE.matcher(text);
     }
 }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/ReadAheadInput.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/ReadAheadInput.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
 import org.skylarkmast.http.IntakeMeter;
+import org.skylarkmast.http.LineEnds;
 
 /**
  * Buffered input of a connection that detects a disconnect while nothing is being read.
@@ -53,6 +54,7 @@
     private int headLimitBytes;
     private int bodyLinesBytes;
     private long unchargedBytes;
+    private LineEnds lineEnds = new LineEnds();
 
     /** As the other constructor, without charges. */
     ReadAheadInput(InputStream socketInput, IntSupplier maxHeadBytes, boolean requireCrLf) {
@@ -61,7 +63,8 @@
 
     /**
      * @param maxHeadBytes returns the maximum size in bytes of a message head that begins now
-     * @param requireCrLf whether a line must end with CR LF and a folded header line is rejected
+     * @param requireCrLf whether a line must end with CR LF and a folded header line is rejected;
+     *     otherwise all lines of a head, and all those of a body, must end alike
      * @param meter charged with the lines of a message
      */
     ReadAheadInput(
@@ -81,11 +84,13 @@
         headBytes = 0;
         headLimitBytes = maxHeadBytes.getAsInt();
         bodyLinesBytes = 0;
+        lineEnds = new LineEnds();
     }
 
     /** Stops counting head bytes; later lines belong to the body. */
     void endHead() {
         inHead = false;
+        lineEnds = new LineEnds();
     }
 
     /**
@@ -220,6 +225,7 @@
                 if (!afterCarriageReturn && requireCrLf) {
                     throw new MalformedMessageException("line feed without carriage return");
                 }
+                lineEnds.accept(afterCarriageReturn);
                 break;
             }
             if (afterCarriageReturn) {
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RequestSyntax.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RequestSyntax.java
@@ -1,27 +1,24 @@
 package org.skylarkmast.relay.http;
 
 import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.skylarkmast.http.FieldSyntax;
 
 /** Rejects request heads that another HTTP implementation could interpret differently. */
 final class RequestSyntax {
-    private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
     private RequestSyntax() {}
 
     static void checkField(String name, String value) throws MalformedMessageException {
-        if (!isToken(name)) {
+        if (!FieldSyntax.isToken(name)) {
             throw new MalformedMessageException("invalid field name");
         }
-        for (int i = 0; i < value.length(); i++) {
-            char c = value.charAt(i);
-            if ((c < ' ' && c != '\t') || c == 0x7F) {
-                throw new MalformedMessageException("control character in a field");
-            }
+        if (!FieldSyntax.isValue(value)) {
+            throw new MalformedMessageException("control character in a field");
         }
     }
 
     static String checkedTarget(ClassicHttpRequest request) throws MalformedMessageException {
-        if (!isToken(request.getMethod())) {
+        if (!FieldSyntax.isToken(request.getMethod())) {
             throw new MalformedMessageException("invalid method");
         }
         String target = request.getRequestUri();
@@ -42,19 +39,4 @@
             throw new MalformedMessageException("exactly one Host field is required");
         }
     }
-
-    private static boolean isToken(String text) {
-        if (text == null || text.isEmpty()) {
-            return false;
-        }
-        for (int i = 0; i < text.length(); i++) {
-            char c = text.charAt(i);
-            boolean letterOrDigit =
-                    (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
-            if (!letterOrDigit && TOKEN_PUNCTUATION.indexOf(c) < 0) {
-                return false;
-            }
-        }
-        return true;
-    }
 }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
@@ -18,7 +18,7 @@
 import org.apache.hc.core5.http.impl.io.ContentLengthInputStream;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.impl.io.IdentityInputStream;
-import org.skylarkmast.http.StatusLines;
+import org.skylarkmast.http.ResponseInput;
 
 /**
  * A connection to a runner that carries one exchange at a time.
@@ -134,7 +134,7 @@
         try {
             parsed =
                     new DefaultHttpResponseParser(LIMITS)
-                            .parse(input, InputStream.nullInputStream());
+                            .parse(ResponseInput.ofHead(input), InputStream.nullInputStream());
         } catch (HttpException e) {
             // The parser's message quotes what arrived, which may belong to another request.
             throw new MalformedMessageException("malformed head of an answer");
@@ -143,12 +143,9 @@
         if (parsed == null) {
             throw new IOException("connection ended before an answer");
         }
-        rejectStatusLine(parsed.getReasonPhrase());
         List<HeaderFields.Field> fields = new ArrayList<>();
         for (Header header : parsed.getHeaders()) {
             String value = header.getValue() == null ? "" : header.getValue();
-            rejectStatusLine(header.getName());
-            rejectStatusLine(value);
             fields.add(new HeaderFields.Field(header.getName(), value));
         }
         HeaderFields all = new HeaderFields(fields);
@@ -164,13 +161,6 @@
         return new RunnerAnswer(status, all, framing, persistent);
     }
 
-    /** Rejects a head that was cut off and runs on into the head of another answer. */
-    private static void rejectStatusLine(String text) throws MalformedMessageException {
-        if (StatusLines.areIn(text)) {
-            throw new MalformedMessageException("an answer begins within the head of another");
-        }
-    }
-
     /** Returns the body of {@code answer}; reading fails if the body is truncated. */
     public InputStream body(RunnerAnswer answer) {
         InputStream placeholder = InputStream.nullInputStream();
