[http] Reject responses with a malformed status line

A runner's answer with status 000 or 600 and above ended the caller's connection without an answer, also on routes where another runner may be tried: HttpCore throws an unchecked exception for a status of 0 when it parses the head, and for one above 599 when its reason phrase is looked up to write the answer. It went through the whole request; request_ended said status=0 sends=0 and named no runner. A status below 100 was taken for that of an interim answer and skipped. Blanks before or between the parts of the line, a control character in the reason and another major version were accepted and passed on as 200. HttpClient returned 600 and above as an answer.

ResponseInput checks the status line as well: HTTP/1 and a minor version, a blank, a status of 100 to 599 (RFC 9110, section 15), and a reason without control characters, which may be missing. It throws an IOException, as for any other malformed head, before the parser or the writer can throw another.

--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/ResponseInput.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/ResponseInput.java
@@ -2,18 +2,23 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
- * Input of a response's head that fails at a field line that HTTP/1.1 does not allow (RFC 9112,
- * section 5).
+ * Input of a response's head that fails at a line that HTTP/1.1 does not allow there (RFC 9112,
+ * sections 4 and 5).
  *
  * <p>HttpCore's parsers accept more: they trim and join what they read, and let control characters
  * pass, so that a malformed line could be forwarded, or hide a field that bounds the body. Not
  * thread-safe.
  */
 public final class ResponseInput extends FilterSessionInput {
+    private static final Pattern STATUS_LINE =
+            Pattern.compile("HTTP/1\\.[0-9] [1-5][0-9]{2}(?<reason> .*)?", Pattern.DOTALL);
+
     private Part nextLine;
 
     private enum Part {
@@ -62,7 +67,11 @@
     }
 
     private static void checkStatusLine(CharSequence line) throws MalformedResponseException {
-        rejectStatusLine(line.subSequence(Math.min(1, line.length()), line.length()));
+        Matcher matcher = STATUS_LINE.matcher(line);
+        if (!matcher.matches() || !FieldSyntax.isValue(line)) {
+            throw new MalformedResponseException("invalid status line");
+        }
+        rejectStatusLine(matcher.group("reason"));
     }
 
     private static void checkField(CharSequence line) throws MalformedResponseException {
--- a/skylarkmast-http/src/test/java/org/skylarkmast/http/MalformedResponseTest.java
+++ b/skylarkmast-http/src/test/java/org/skylarkmast/http/MalformedResponseTest.java
@@ -99,8 +99,27 @@
                 .map(field -> OK + field + "\r\nContent-Length: 2\r\n\r\nh\n");
     }
 
+    private static Stream<String> responsesWithMalformedStatusLines() {
+        Stream<String> lines =
+                Stream.of(
+                        "HTTP/1.1 20 OK",
+                        "HTTP/1.1 0200 OK",
+                        "HTTP/1.1 +20 OK",
+                        "HTTP/1.1  200 OK",
+                        "HTTP/1.1\t200 OK",
+                        " HTTP/1.1 200 OK",
+                        "HTTP/1.1 200 O\0K",
+                        "HTTP/0.9 200 OK",
+                        "HTTP/2.0 200 OK");
+        Stream<String> statuses =
+                IntStream.of(0, 1, 20, 99, 600, 999).mapToObj("HTTP/1.1 %03d x"::formatted);
+        return Stream.concat(lines, statuses)
+                .map(line -> line + "\r\nContent-Length: 2\r\n\r\nh\n");
+    }
+
     static Stream<String> malformedResponses() {
-        return responsesWithMalformedFields();
+        return Stream.of(responsesWithMalformedFields(), responsesWithMalformedStatusLines())
+                .flatMap(responses -> responses);
     }
 
     // Guards against a response that HTTP does not allow, taken for an answer.
