[http] Reject malformed lines of chunked responses

Trailers were read like the fields of a head: a blank or a control byte in a name, also a line feed that ends the trailers early, was accepted, and the answer was passed on as complete. The line of a chunk's size was read with Long.parseLong after trimming, which takes a sign, and its extensions were not read at all. HttpCore reads both with the same calls, so that a check has to know the size line of the last chunk to tell trailers from it.

ResponseInput.ofBody checks both: a size is hexadecimal digits, with an extension without control characters or none, and the lines behind the last chunk are fields like those of a head.

--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/CompleteLineInput.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/CompleteLineInput.java
@@ -49,8 +49,8 @@
         return new CompleteLineInput(input, false, meter, _ -> {});
     }
 
-    /** Returns the input of a body. */
-    static CompleteLineInput ofBody(SessionInputBuffer input) {
+    /** Returns the input of a request's body. */
+    static CompleteLineInput ofRequestBody(SessionInputBuffer input) {
         return new CompleteLineInput(input, true, IntakeMeter.UNLIMITED, _ -> {});
     }
 
@@ -59,6 +59,11 @@
         return new CompleteLineInput(input, false, IntakeMeter.UNLIMITED, new LineEnds()::accept);
     }
 
+    /** Returns the input of a response's body. */
+    static CompleteLineInput ofResponseBody(SessionInputBuffer input) {
+        return new CompleteLineInput(input, true, IntakeMeter.UNLIMITED, new LineEnds()::accept);
+    }
+
     /**
      * Reads a line.
      *
--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
@@ -303,7 +303,7 @@
         idle.addFirst(new IdleConnection(connection, System.nanoTime()));
     }
 
-    /** A connection that accepts complete responses with a well-formed head only. */
+    /** A connection that accepts complete and well-formed responses only. */
     private static final class ClientConnection extends DefaultBHttpClientConnection {
         private final Socket socket;
         private final ResponseParser parser;
@@ -334,7 +334,8 @@
         @Override
         protected InputStream createContentInputStream(
                 long length, SessionInputBuffer buffer, InputStream in) {
-            return super.createContentInputStream(length, CompleteLineInput.ofBody(buffer), in);
+            return super.createContentInputStream(
+                    length, ResponseInput.ofBody(CompleteLineInput.ofResponseBody(buffer)), in);
         }
     }
 
--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/ResponseInput.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/ResponseInput.java
@@ -8,8 +8,8 @@
 import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
- * Input of a response's head that fails at a line that HTTP/1.1 does not allow there (RFC 9112,
- * sections 4 and 5).
+ * Input of a response that fails at a line that HTTP/1.1 does not allow there: of the head, of a
+ * chunk's size, or of the trailers (RFC 9112, sections 4, 5 and 7.1).
  *
  * <p>HttpCore's parsers accept more: they trim and join what they read, and let control characters
  * pass, so that a malformed line could be forwarded, or hide a field that bounds the body. Not
@@ -18,12 +18,15 @@
 public final class ResponseInput extends FilterSessionInput {
     private static final Pattern STATUS_LINE =
             Pattern.compile("HTTP/1\\.[0-9] [1-5][0-9]{2}(?<reason> .*)?", Pattern.DOTALL);
+    private static final Pattern CHUNK_SIZE_LINE =
+            Pattern.compile("(?<size>[0-9A-Fa-f]+)[ \t]*(;.*)?", Pattern.DOTALL);
 
     private Part nextLine;
 
     private enum Part {
         STATUS_LINE,
-        FIELD
+        FIELD,
+        CHUNK_SIZE
     }
 
     private ResponseInput(SessionInputBuffer delegate, Part nextLine) {
@@ -36,6 +39,11 @@
         return new ResponseInput(input, Part.STATUS_LINE);
     }
 
+    /** Returns the input of a body, whose lines are those of the chunked transfer encoding. */
+    public static ResponseInput ofBody(SessionInputBuffer input) {
+        return new ResponseInput(input, Part.CHUNK_SIZE);
+    }
+
     /**
      * Reads a line.
      *
@@ -45,7 +53,7 @@
     public int readLine(CharArrayBuffer line, InputStream in) throws IOException {
         int start = line.length();
         int length = super.readLine(line, in);
-        // An empty line precedes a status line or ends the fields.
+        // An empty line precedes a status line, follows a chunk or ends the fields.
         if (length > 0) {
             nextLine = check(line.subSequence(start, line.length()));
         }
@@ -63,6 +71,7 @@
                 checkField(line);
                 yield Part.FIELD;
             }
+            case CHUNK_SIZE -> isLastChunk(line) ? Part.FIELD : Part.CHUNK_SIZE;
         };
     }
 
@@ -88,6 +97,14 @@
         rejectStatusLine(line);
     }
 
+    private static boolean isLastChunk(CharSequence line) throws MalformedResponseException {
+        Matcher matcher = CHUNK_SIZE_LINE.matcher(line);
+        if (!matcher.matches() || !FieldSyntax.isValue(line)) {
+            throw new MalformedResponseException("invalid size of a chunk");
+        }
+        return matcher.group("size").chars().allMatch(digit -> digit == '0');
+    }
+
     /** Rejects a head that was cut off and runs on into the head of another response. */
     private static void rejectStatusLine(CharSequence text) throws MalformedResponseException {
         if (StatusLines.areIn(text)) {
--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/ServerConnection.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/ServerConnection.java
@@ -48,7 +48,7 @@
     protected InputStream createContentInputStream(
             long length, SessionInputBuffer buffer, InputStream in) {
         return super.createContentInputStream(
-                length, CompleteLineInput.ofBody(buffer), new FairInput(in));
+                length, CompleteLineInput.ofRequestBody(buffer), new FairInput(in));
     }
 
     @Override
--- a/skylarkmast-http/src/test/java/org/skylarkmast/http/MalformedResponseTest.java
+++ b/skylarkmast-http/src/test/java/org/skylarkmast/http/MalformedResponseTest.java
@@ -22,6 +22,7 @@
     private static final String OK = "HTTP/1.1 200 OK\r\n";
     private static final String CHUNKED_WITH_FIELDS =
             "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n%s\r\n";
+    private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
 
     private static void respond(ServerSocket listener, String raw) {
         try (Socket socket = listener.accept()) {
@@ -85,6 +86,13 @@
         assertBroken("HTTP/1.1 103 x\r\n" + field + "\r\n" + OK + "Content-Length: 2\r\n\r\nh\n");
     }
 
+    // Guards against trailers with a blank or a control byte in a name, taken for whole.
+    @ParameterizedTest(name = "byte {0} in {1}")
+    @MethodSource("bytesOfNames")
+    void blankOrControlByteInATrailersNameIsNoAnswer(int value, String name) throws IOException {
+        assertBroken(CHUNKED + "2\r\nh\n\r\n0\r\n" + name + ": a\r\n\r\n");
+    }
+
     private static Stream<String> responsesWithMalformedFields() {
         return Stream.of(
                         "A: b\r\n c",
@@ -117,8 +125,16 @@
                 .map(line -> line + "\r\nContent-Length: 2\r\n\r\nh\n");
     }
 
+    private static Stream<String> responsesWithMalformedChunks() {
+        return Stream.of("+2", "-2", " 2", "2 2", "0x2", "2\0", "2;a=\0", "")
+                .map(size -> CHUNKED + size + "\r\nh\n\r\n0\r\n\r\n");
+    }
+
     static Stream<String> malformedResponses() {
-        return Stream.of(responsesWithMalformedFields(), responsesWithMalformedStatusLines())
+        return Stream.of(
+                        responsesWithMalformedFields(),
+                        responsesWithMalformedStatusLines(),
+                        responsesWithMalformedChunks())
                 .flatMap(responses -> responses);
     }
 
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/RunnerConnection.java
@@ -161,14 +161,15 @@
         return new RunnerAnswer(status, all, framing, persistent);
     }
 
-    /** Returns the body of {@code answer}; reading fails if the body is truncated. */
+    /** Returns the body of {@code answer}; reading fails if the body is truncated or malformed. */
     public InputStream body(RunnerAnswer answer) {
         InputStream placeholder = InputStream.nullInputStream();
         return switch (answer.framing()) {
             case Framing.Empty empty -> placeholder;
             case Framing.Length length ->
                     new ContentLengthInputStream(input, placeholder, length.bytes());
-            case Framing.Chunked chunked -> new ChunkedInputStream(input, placeholder, LIMITS);
+            case Framing.Chunked chunked ->
+                    new ChunkedInputStream(ResponseInput.ofBody(input), placeholder, LIMITS);
             case Framing.UntilClose untilClose -> new IdentityInputStream(input, placeholder);
         };
     }
