[http] Read the length of a response's body in one way

HttpClient left the length of a body to HttpCore, which takes a sign in a Content-Length, and the chunked coding where a response declares both it and a length. The relay rejects both; so did their answers depend on which client read them.

BodyLength is the relay's rule, moved from Framing. HttpClient's connection uses it as its strategy for the length, so that the body is read by what was checked. The relay's behaviour does not change.

--- a/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
+++ b/skylarkmast-http/src/main/java/org/skylarkmast/http/HttpClient.java
@@ -8,8 +8,10 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -17,10 +19,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.HttpMessage;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultBHttpClientConnection;
@@ -314,7 +319,7 @@
 
         private ClientConnection(Socket socket, ResponseParser parser) throws IOException {
             // The connection's own parser would not apply the limits.
-            super(LIMITS, null, null, null, null, null, _ -> parser);
+            super(LIMITS, null, null, ClientConnection::bodyLength, null, null, _ -> parser);
             this.socket = socket;
             this.parser = parser;
             bind(socket);
@@ -337,6 +342,23 @@
             return super.createContentInputStream(
                     length, ResponseInput.ofBody(CompleteLineInput.ofResponseBody(buffer)), in);
         }
+
+        private static long bodyLength(HttpMessage response) throws ProtocolException {
+            BodyLength length =
+                    BodyLength.of(
+                            values(response, HttpHeaders.TRANSFER_ENCODING),
+                            values(response, HttpHeaders.CONTENT_LENGTH));
+            return switch (length) {
+                case BodyLength.Undeclared undeclared -> ContentLengthStrategy.UNDEFINED;
+                case BodyLength.Chunked chunked -> ContentLengthStrategy.CHUNKED;
+                case BodyLength.Bytes bytes -> bytes.count();
+                case BodyLength.Invalid invalid -> throw new ProtocolException(invalid.reason());
+            };
+        }
+
+        private static List<String> values(HttpMessage response, String name) {
+            return Arrays.stream(response.getHeaders(name)).map(Header::getValue).toList();
+        }
     }
 
     private static final class ResponseParser extends DefaultHttpResponseParser {
--- a/skylarkmast-http/src/test/java/org/skylarkmast/http/MalformedResponseTest.java
+++ b/skylarkmast-http/src/test/java/org/skylarkmast/http/MalformedResponseTest.java
@@ -125,6 +125,20 @@
                 .map(line -> line + "\r\nContent-Length: 2\r\n\r\nh\n");
     }
 
+    private static Stream<String> responsesWithMalformedLengths() {
+        return Stream.of(
+                        "Content-Length: +2",
+                        "Content-Length: -2",
+                        "Content-Length: 0x2",
+                        "Content-Length: 2, 2",
+                        "Content-Length:",
+                        "Content-Length: 2\r\nContent-Length: 2",
+                        "Content-Length: 2\r\nTransfer-Encoding: chunked",
+                        "Transfer-Encoding: gzip, chunked",
+                        "Transfer-Encoding: chunked\r\ntransfer-encoding: chunked")
+                .map(field -> OK + field + "\r\n\r\n2\r\nh\n\r\n0\r\n\r\n");
+    }
+
     private static Stream<String> responsesWithMalformedChunks() {
         return Stream.of("+2", "-2", " 2", "2 2", "0x2", "2\0", "2;a=\0", "")
                 .map(size -> CHUNKED + size + "\r\nh\n\r\n0\r\n\r\n");
@@ -134,6 +148,7 @@
         return Stream.of(
                         responsesWithMalformedFields(),
                         responsesWithMalformedStatusLines(),
+                        responsesWithMalformedLengths(),
                         responsesWithMalformedChunks())
                 .flatMap(responses -> responses);
     }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/Framing.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/Framing.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import org.skylarkmast.http.BodyLength;
 
 /** How the end of a message body is determined (RFC 9112, section 6). */
 public sealed interface Framing {
@@ -51,28 +52,16 @@
      */
     static Framing of(HeaderFields fields, Framing defaultFraming)
             throws MalformedMessageException {
-        int encodingFields = fields.count("Transfer-Encoding");
-        int lengthFields = fields.count("Content-Length");
-        if (encodingFields + lengthFields > 1) {
-            throw new MalformedMessageException("more than one field declares the body's length");
-        }
-        if (encodingFields == 1) {
-            if (!fields.first("Transfer-Encoding").strip().equalsIgnoreCase("chunked")) {
-                throw new MalformedMessageException("unknown transfer encoding");
-            }
-            return new Chunked();
-        }
-        if (lengthFields == 0) {
-            return defaultFraming;
-        }
-        String length = fields.first("Content-Length");
-        if (length.isEmpty()
-                || length.length() > 18
-                || !length.chars().allMatch(c -> c >= '0' && c <= '9')) {
-            throw new MalformedMessageException("content length is not a number");
-        }
-        long bytes = Long.parseLong(length);
-        return bytes == 0 ? new Empty() : new Length(bytes);
+        BodyLength length =
+                BodyLength.of(fields.values("Transfer-Encoding"), fields.values("Content-Length"));
+        return switch (length) {
+            case BodyLength.Undeclared undeclared -> defaultFraming;
+            case BodyLength.Chunked chunked -> new Chunked();
+            case BodyLength.Bytes bytes ->
+                    bytes.count() == 0 ? new Empty() : new Length(bytes.count());
+            case BodyLength.Invalid invalid ->
+                    throw new MalformedMessageException(invalid.reason());
+        };
     }
 
     /**
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/HeaderFields.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/HeaderFields.java
@@ -27,15 +27,17 @@
         return null;
     }
 
+    /** Returns the values of the fields {@code name} in order. */
+    public List<String> values(String name) {
+        return fields.stream()
+                .filter(field -> field.name().equalsIgnoreCase(name))
+                .map(Field::value)
+                .toList();
+    }
+
     /** Returns the number of fields {@code name}. */
     public int count(String name) {
-        int count = 0;
-        for (Field field : fields) {
-            if (field.name().equalsIgnoreCase(name)) {
-                count++;
-            }
-        }
-        return count;
+        return values(name).size();
     }
 
     /**
