--- a/skylarkmast-http/src/test/java/org/skylarkmast/http/CutMessageTest.java
+++ b/skylarkmast-http/src/test/java/org/skylarkmast/http/CutMessageTest.java
@@ -5,12 +5,9 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -20,21 +17,6 @@
 /** Tests messages whose sender closes the connection before their end, cut after each byte. */
 class CutMessageTest {
 
-    /** Reads one request and answers it with {@code raw} and the end of the connection. */
-    private static void respond(ServerSocket listener, String raw) {
-        try (Socket socket = listener.accept()) {
-            InputStream in = socket.getInputStream();
-            StringBuilder head = new StringBuilder();
-            while (head.indexOf("\r\n\r\n") < 0) {
-                head.append((char) in.read());
-            }
-            OutputStream out = socket.getOutputStream();
-            out.write(raw.getBytes(StandardCharsets.US_ASCII));
-        } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
-        }
-    }
-
     static Stream<Arguments> responses() {
         String ok = "HTTP/1.1 200 OK\r\nA: b\r\n";
         String chunked = ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nline\n\r\n0\r\nT: t\r\n\r\n";
@@ -54,26 +36,9 @@
             throws IOException {
         for (int length = 0; length < response.length(); length++) {
             String cut = response.substring(0, length);
-            try (ServerSocket listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
-                    HttpClient client = new HttpClient(1, 1000)) {
-                Thread.ofVirtual().start(() -> respond(listener, cut));
-                ClientRequest request =
-                        new ClientRequest(
-                                "127.0.0.1:" + listener.getLocalPort(),
-                                "GET",
-                                "/x",
-                                Map.of(),
-                                new byte[0],
-                                10_000,
-                                false);
-                HttpOutcome outcome =
-                        stream
-                                ? client.stream(request, new AbortSignal(), line -> true)
-                                : client.send(request);
-                assertWithMessage("cut after %s", cut)
-                        .that(outcome)
-                        .isInstanceOf(HttpOutcome.Broken.class);
-            }
+            assertWithMessage("cut after %s", cut)
+                    .that(RawResponses.outcome("GET", cut, stream))
+                    .isInstanceOf(HttpOutcome.Broken.class);
         }
     }
 
--- a/skylarkmast-http/src/test/java/org/skylarkmast/http/HttpClientResponseEndTest.java
+++ b/skylarkmast-http/src/test/java/org/skylarkmast/http/HttpClientResponseEndTest.java
@@ -3,12 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -17,39 +12,6 @@
 /** Tests whole responses after which the connection ends, and heads that run on into another. */
 class HttpClientResponseEndTest {
 
-    private static void respond(ServerSocket listener, String raw) {
-        try (Socket socket = listener.accept()) {
-            InputStream in = socket.getInputStream();
-            StringBuilder head = new StringBuilder();
-            while (head.indexOf("\r\n\r\n") < 0) {
-                head.append((char) in.read());
-            }
-            socket.getOutputStream().write(raw.getBytes(StandardCharsets.US_ASCII));
-        } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
-        }
-    }
-
-    private static HttpOutcome outcome(String method, String raw, boolean stream)
-            throws IOException {
-        try (ServerSocket listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
-                HttpClient client = new HttpClient(1, 1000)) {
-            Thread.ofVirtual().start(() -> respond(listener, raw));
-            ClientRequest request =
-                    new ClientRequest(
-                            "127.0.0.1:" + listener.getLocalPort(),
-                            method,
-                            "/x",
-                            Map.of(),
-                            new byte[0],
-                            10_000,
-                            false);
-            return stream
-                    ? client.stream(request, new AbortSignal(), line -> true)
-                    : client.send(request);
-        }
-    }
-
     static Stream<Arguments> wholeResponses() {
         String ok = "HTTP/1.1 200 OK\r\n";
         String interim = "HTTP/1.1 103 x\r\nA: b\r\n\r\n";
@@ -86,7 +48,7 @@
     @MethodSource("wholeResponses")
     void wholeResponseBeforeTheEndOfTheConnectionIsAnAnswer(
             String name, String method, String raw, String body) throws IOException {
-        HttpOutcome outcome = outcome(method, raw, false);
+        HttpOutcome outcome = RawResponses.outcome(method, raw, false);
         assertThat(outcome).isInstanceOf(HttpOutcome.Answered.class);
         assertThat(new String(((HttpOutcome.Answered) outcome).body(), StandardCharsets.US_ASCII))
                 .isEqualTo(body);
@@ -115,6 +77,6 @@
     @MethodSource("headsThatRunOn")
     void headThatRunsOnIntoAnotherIsNoAnswer(String cut, String raw, boolean stream)
             throws IOException {
-        assertThat(outcome("GET", raw, stream)).isInstanceOf(HttpOutcome.Broken.class);
+        assertThat(RawResponses.outcome("GET", raw, stream)).isInstanceOf(HttpOutcome.Broken.class);
     }
 }
--- a/skylarkmast-http/src/test/java/org/skylarkmast/http/MalformedResponseTest.java
+++ b/skylarkmast-http/src/test/java/org/skylarkmast/http/MalformedResponseTest.java
@@ -4,12 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -24,42 +19,10 @@
             "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n%s\r\n";
     private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
 
-    private static void respond(ServerSocket listener, String raw) {
-        try (Socket socket = listener.accept()) {
-            InputStream in = socket.getInputStream();
-            StringBuilder head = new StringBuilder();
-            while (head.indexOf("\r\n\r\n") < 0) {
-                head.append((char) in.read());
-            }
-            socket.getOutputStream().write(raw.getBytes(StandardCharsets.ISO_8859_1));
-        } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
-        }
-    }
-
-    private static HttpOutcome outcome(String raw, boolean stream) throws IOException {
-        try (ServerSocket listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
-                HttpClient client = new HttpClient(1, 1000)) {
-            Thread.ofVirtual().start(() -> respond(listener, raw));
-            ClientRequest request =
-                    new ClientRequest(
-                            "127.0.0.1:" + listener.getLocalPort(),
-                            "GET",
-                            "/x",
-                            Map.of(),
-                            new byte[0],
-                            10_000,
-                            false);
-            return stream
-                    ? client.stream(request, new AbortSignal(), line -> true)
-                    : client.send(request);
-        }
-    }
-
     private static void assertBroken(String raw) throws IOException {
         for (boolean stream : new boolean[] {false, true}) {
             assertWithMessage(raw)
-                    .that(outcome(raw, stream))
+                    .that(RawResponses.outcome("GET", raw, stream))
                     .isInstanceOf(HttpOutcome.Broken.class);
         }
     }
@@ -179,7 +142,7 @@
         String value = "\"quoted, \t \\\" value\" (comment); \u00E4\u00FF";
         String lineEnd = raw.contains("\r\n") ? "\r\n" : "\n";
         String fields = name + ":" + value + lineEnd + "Empty: " + lineEnd;
-        HttpOutcome outcome = outcome(raw.formatted(fields), false);
+        HttpOutcome outcome = RawResponses.outcome("GET", raw.formatted(fields), false);
         assertThat(outcome).isInstanceOf(HttpOutcome.Answered.class);
         HttpOutcome.Answered answered = (HttpOutcome.Answered) outcome;
         assertThat(answered.headers()).containsAtLeast(name, value, "empty", "");
