[review] Case 12: a lost storage node is never replaced after a restart of all

Rule: RECOVER. With one of three storage nodes gone for good, restarted ones cannot complete a sync, so the view stays as it is and the next lost disk ends the service. Code at fault as far as known: RecordSync.fetchMissing and ViewChange.quorumSynced.

--- /dev/null
+++ b/review/standins-11/Case.java
@@ -0,0 +1,50 @@
+import java.nio.file.Path;
+
+/** Runs one case and exits with 1 if the rule was broken, 0 if it held, 2 if it could not run. */
+final class Case {
+    private static final int HELD = 0;
+    private static final int BROKEN = 1;
+    private static final int NOT_RUN = 2;
+
+    private Case() {}
+
+    public static void main(String[] arguments) throws Exception {
+        Path repository = Path.of(arguments[1]);
+        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        int result = NOT_RUN;
+        try (Log log = new Log(Path.of(arguments[2]));
+                Cluster cluster = new Cluster(repository, log)) {
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> endAll(cluster)));
+            if (cluster.start()) {
+                try (Consumers consumers = new Consumers(log, cluster.fronts, 6)) {
+                    result =
+                            switch (arguments[0]) {
+                                case "12" -> Recovery.afterLossAndRestart(cluster, consumers, trouble);
+                                case "13" -> Recovery.afterPlannedReplacement(cluster, consumers, trouble);
+                                default -> NOT_RUN;
+                            };
+                }
+            }
+            log.say(
+                    switch (result) {
+                        case HELD -> "the rule held";
+                        case BROKEN -> "the rule was broken";
+                        default -> "the case could not run";
+                    });
+        }
+        System.exit(result);
+    }
+
+    private static void endAll(Cluster cluster) {
+        try {
+            for (Node node : cluster.fronts) {
+                node.kill();
+            }
+            for (Node node : cluster.storage) {
+                node.kill();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
