[review] Case 14: a kept conversation of large turns cannot go on

The chain of a turn is held several times on an entry node's heap, outside its account; at 16 MB every try ends in an OutOfMemoryError and a closed channel. Code at fault as far as known: RequestHandler.joinHistory and LedgerClient.chain.

--- a/review/standins-11/Case.java
+++ b/review/standins-11/Case.java
@@ -21,6 +21,7 @@
                             switch (arguments[0]) {
                                 case "12" -> Recovery.afterLossAndRestart(cluster, consumers, trouble);
                                 case "13" -> Recovery.afterPlannedReplacement(cluster, consumers, trouble);
+                                case "14" -> Conversation.ofLargeTurns(cluster, consumers, trouble);
                                 default -> NOT_RUN;
                             };
                 }
--- a/review/standins-11/Consumers.java
+++ b/review/standins-11/Consumers.java
@@ -99,8 +99,13 @@
         }
     }
 
-    /** Sends one turn; public to cases that ask for turns of their own. */
-    Attempt send(String program, String id, String previous) throws InterruptedException {
+    private Attempt send(String program, String id, String previous) throws InterruptedException {
+        return send(program, id, previous, "input of " + id + "\n");
+    }
+
+    /** Sends one turn. */
+    Attempt send(String program, String id, String previous, String input)
+            throws InterruptedException {
         List<Node> rotation = inRotation;
         Node front = rotation.get(Math.floorMod(next.getAndIncrement(), rotation.size()));
         HttpRequest.Builder request =
@@ -115,7 +120,7 @@
                         .header("X-Token-Usage", "100,8")
                         .header("X-Model", "m")
                         .header("X-Deadline-Ms", Long.toString(TIME_LIMIT_MS))
-                        .POST(HttpRequest.BodyPublishers.ofString("input of " + id + "\n"));
+                        .POST(HttpRequest.BodyPublishers.ofString(input));
         if (!previous.isEmpty()) {
             request.header("X-Previous-Turn", previous);
         }
--- a/review/standins-11/Runner.java
+++ b/review/standins-11/Runner.java
@@ -71,7 +71,7 @@
         }
         running.incrementAndGet();
         try {
-            log.line("run", request + " at " + id + ", body of " + body.length + " bytes");
+            log.run(request, id, body.length);
             fields.set("X-Server-Signature", id + "." + request);
             fields.set("Content-Type", "text/event-stream");
             call.sendResponseHeaders(200, 0);
