--- a/review/12/run.sh
+++ b/review/11/run.sh
@@ -7,4 +7,4 @@
 find_java || exit 2
 [ -d target/review-11 ] || { echo "run review/build-3.sh first" >&2; exit 2; }
 exec timeout -k 5 118 "$JAVA_HOME/bin/java" -Xmx256m -Djdk.httpclient.allowRestrictedHeaders=host \
-  -cp target/review-11 Case 12 "$PWD" review/12/record.txt
+  -cp target/review-11 Case 11 "$PWD" review/11/record.txt
