--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -5,6 +5,12 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 source bin/common.sh
 find_java || exit 2
-[ -d target/review-11 ] || { echo "run review/build-3.sh first" >&2; exit 2; }
-exec timeout -k 5 118 "$JAVA_HOME/bin/java" -Xmx256m -Djdk.httpclient.allowRestrictedHeaders=host \
+if [ ! -x target/runtime/bin/java ] || [ ! -e target/node/node.jar ] || [ ! -e target/review-11/Case.class ]; then
+  echo "error: run the build of the deploy file and review/build-3.sh first" >&2
+  exit 2
+fi
+timeout -k 3 112 "$JAVA_HOME/bin/java" -Xmx256m -Djdk.httpclient.allowRestrictedHeaders=host \
   -cp target/review-11 Case 11 "$PWD" review/11/record.txt
+status=$?
+[ "$status" -le 1 ] || status=2
+exit "$status"
--- a/review/standins-11/Case.java
+++ b/review/standins-11/Case.java
@@ -8,17 +8,27 @@
 
     private Case() {}
 
-    public static void main(String[] arguments) throws Exception {
-        Path repository = Path.of(arguments[1]);
+    public static void main(String[] arguments) {
+        int result = NOT_RUN;
+        try {
+            result = run(arguments[0], Path.of(arguments[1]), Path.of(arguments[2]));
+        } catch (Throwable e) {
+            // The JVM would end with 1, which stands for a broken rule.
+            e.printStackTrace();
+        }
+        System.exit(result);
+    }
+
+    private static int run(String name, Path repository, Path record) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int result = NOT_RUN;
-        try (Log log = new Log(Path.of(arguments[2]));
-                Cluster cluster = new Cluster(repository, log, arguments[0].equals("11"))) {
+        try (Log log = new Log(record);
+                Cluster cluster = new Cluster(repository, log, name.equals("11"))) {
             Runtime.getRuntime().addShutdownHook(new Thread(() -> endAll(cluster)));
             if (cluster.start()) {
                 try (Consumers consumers = new Consumers(log, cluster.fronts, 6)) {
                     result =
-                            switch (arguments[0]) {
+                            switch (name) {
                                 case "11" -> Recovery.afterPlannedReplacement(cluster, consumers, trouble);
                                 case "12" -> Words.ofOtherPrograms(cluster, consumers, trouble);
                                 case "13" -> Versions.ofAStream(cluster, consumers, trouble);
@@ -33,7 +43,7 @@
                         default -> "the case could not run";
                     });
         }
-        System.exit(result);
+        return result;
     }
 
     private static void endAll(Cluster cluster) {
