[storage] In-process storage nodes of tests do not wait for the disk

Cause: the disk. In the kept log of a failed bin/verify, creating and syncing an empty file took 330 ms and 197 ms; a call between storage nodes is given up after 400 ms, a reservation after some of them. For callers: on such a disk a reservation is refused in time (503, nothing is run), and the budget is never exceeded; the tests check that part with the same bounds as before. Change: RecordLog is given the call that makes writes durable (DiskSync). Tests of several storage nodes in one process, which lose no power, pass one that does not wait. RecordLogTest, RecordIndexTest and all processes use the file system's.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
@@ -24,6 +24,7 @@
 import org.skylarkmast.relay.mirror.StoreFollower;
 import org.skylarkmast.relay.mirror.StoreMirror;
 import org.skylarkmast.relay.route.RoutingState;
+import org.skylarkmast.relay.storage.DiskSync;
 import org.skylarkmast.relay.storage.QuorumMembership;
 import org.skylarkmast.relay.storage.RecordIndex;
 import org.skylarkmast.relay.storage.SteadyTimeOfDay;
@@ -91,7 +92,8 @@
         index =
                 new RecordIndex(
                         dataFolder.resolve("records"),
-                        new SteadyTimeOfDay(System::currentTimeMillis, System::nanoTime));
+                        new SteadyTimeOfDay(System::currentTimeMillis, System::nanoTime),
+                        DiskSync.FILE_DATA);
         membership = new QuorumMembership(self, dataFolder, views);
         storageNodes =
                 new StorageNodeClient(
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordIndex.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordIndex.java
@@ -99,14 +99,17 @@
     /**
      * Opens the log in {@code folder} and builds the index from it.
      *
+     * @param diskSync called after each write of records that must be durable
      * @throws IOException if the log cannot be opened
      */
-    public RecordIndex(Path folder, LongSupplier wallClockMs) throws IOException {
+    public RecordIndex(Path folder, LongSupplier wallClockMs, DiskSync diskSync)
+            throws IOException {
         this.wallClockMs = wallClockMs;
         Map<Long, Long> latestExpiryMs = new HashMap<>();
         this.log =
                 new RecordLog(
                         folder,
+                        diskSync,
                         (location, bytes) ->
                                 latestExpiryMs.merge(
                                         location.segment(), replay(location, bytes), Math::max));
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordLog.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordLog.java
@@ -50,6 +50,7 @@
             new PendingAppend(new byte[0], false, 0, new CompletableFuture<>());
 
     private final Path folder;
+    private final DiskSync diskSync;
     private final LinkedBlockingQueue<PendingAppend> queue = new LinkedBlockingQueue<>();
     private final ConcurrentSkipListMap<Long, Segment> segments = new ConcurrentSkipListMap<>();
     private final Thread writer;
@@ -87,10 +88,13 @@
     /**
      * Opens the log and replays its entries.
      *
+     * @param diskSync called after each write of entries that must be durable
      * @throws IOException if the folder cannot be read or written
      */
-    public RecordLog(Path folder, ReplayHandler replayHandler) throws IOException {
+    public RecordLog(Path folder, DiskSync diskSync, ReplayHandler replayHandler)
+            throws IOException {
         this.folder = folder;
+        this.diskSync = diskSync;
         Files.createDirectories(folder);
         List<Long> segmentNumbers = new ArrayList<>();
         try (Stream<Path> files = Files.list(folder)) {
@@ -230,7 +234,7 @@
             }
             activeSegment.size = position;
             if (batch.stream().anyMatch(PendingAppend::durable)) {
-                activeSegment.channel.force(false);
+                diskSync.sync(activeSegment.channel);
             }
         } catch (IOException | OutOfMemoryError e) {
             LOG.atWarn()
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/RecordIndexTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/RecordIndexTest.java
@@ -22,7 +22,7 @@
     private final AtomicLong wallClockMs = new AtomicLong();
 
     private RecordIndex open() throws IOException {
-        return new RecordIndex(folder, wallClockMs::get);
+        return new RecordIndex(folder, wallClockMs::get, DiskSync.FILE_DATA);
     }
 
     private static TurnRecord turn(String id, String previous) {
@@ -118,7 +118,7 @@
     @Test
     void readsUsagesThatThePreviousReleaseWrote() throws Exception {
         Usage open = new Usage("r1", 40, false);
-        try (RecordLog log = new RecordLog(folder, (location, entry) -> {})) {
+        try (RecordLog log = new RecordLog(folder, DiskSync.FILE_DATA, (location, entry) -> {})) {
             byte[] entry =
                     LedgerCodec.encode(
                             out -> {
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/RecordLogTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/RecordLogTest.java
@@ -31,6 +31,7 @@
         try (RecordLog _ =
                 new RecordLog(
                         folder,
+                        DiskSync.FILE_DATA,
                         (location, entry) ->
                                 found.add(new String(entry, StandardCharsets.UTF_8)))) {
             return found;
@@ -38,7 +39,7 @@
     }
 
     private void write(String... entries) throws Exception {
-        try (RecordLog log = new RecordLog(folder, (location, entry) -> {})) {
+        try (RecordLog log = new RecordLog(folder, DiskSync.FILE_DATA, (location, entry) -> {})) {
             for (String entry : entries) {
                 log.append(bytes(entry), true, NO_EXPIRY_MS).get();
             }
@@ -60,7 +61,7 @@
 
     @Test
     void readsBackByLocation() throws Exception {
-        try (RecordLog log = new RecordLog(folder, (location, entry) -> {})) {
+        try (RecordLog log = new RecordLog(folder, DiskSync.FILE_DATA, (location, entry) -> {})) {
             var _ = log.append(bytes("first"), false, NO_EXPIRY_MS);
             RecordLog.Location second = log.append(bytes("second"), true, NO_EXPIRY_MS).get();
             assertThat(new String(log.read(second), StandardCharsets.UTF_8)).isEqualTo("second");
@@ -107,10 +108,10 @@
 
     @Test
     void removesSegmentsWhoseEntriesExpired() throws Exception {
-        try (RecordLog log = new RecordLog(folder, (location, entry) -> {})) {
+        try (RecordLog log = new RecordLog(folder, DiskSync.FILE_DATA, (location, entry) -> {})) {
             log.append(bytes("old"), true, 10).get();
         }
-        try (RecordLog log = new RecordLog(folder, (location, entry) -> {})) {
+        try (RecordLog log = new RecordLog(folder, DiskSync.FILE_DATA, (location, entry) -> {})) {
             log.retainUntil(0, 10);
             log.removeExpiredSegments(11, Set.of());
         }
@@ -121,7 +122,8 @@
     void closedLogWritesNoMoreFiles() throws Exception {
         for (int i = 0; i < 50; i++) {
             Path closedFolder = folder.resolve("log-" + i);
-            RecordLog log = new RecordLog(closedFolder, (location, entry) -> {});
+            RecordLog log =
+                    new RecordLog(closedFolder, DiskSync.FILE_DATA, (location, entry) -> {});
             CompletableFuture<RecordLog.Location> appended =
                     log.append(bytes("entry"), false, NO_EXPIRY_MS);
             log.close();
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/SteadyTimeOfDayTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/SteadyTimeOfDayTest.java
@@ -25,7 +25,7 @@
         SteadyTimeOfDay clock =
                 new SteadyTimeOfDay(
                         () -> wallMs + elapsedMs, () -> TimeUnit.MILLISECONDS.toNanos(elapsedMs));
-        try (RecordIndex index = new RecordIndex(folder, clock)) {
+        try (RecordIndex index = new RecordIndex(folder, clock, DiskSync.FILE_DATA)) {
             index.putTurn(new TurnRecord("t", "", new byte[0], new byte[0], RETENTION_MS)).get();
             index.putUsage(
                             new RecordIndex.ProgramUsage(
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeCluster.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeCluster.java
@@ -31,7 +31,12 @@
 import org.skylarkmast.relay.mirror.MirrorExchange;
 import org.skylarkmast.relay.mirror.StoreMirror;
 
-/** In-process storage nodes, each with its own folder and port; the test runs the rounds. */
+/**
+ * In-process storage nodes, each with its own folder and port; the test runs the rounds.
+ *
+ * <p>Nothing here loses power, so writes do not wait for the disk: how long it takes would decide
+ * which calls are given up.
+ */
 final class StorageNodeCluster implements AutoCloseable {
     /** Far longer than a withdrawal takes, so that it decides no test. */
     private static final long CONTENTION_WAIT_MS = 4000;
@@ -41,6 +46,7 @@
     private static final long BIND_TIMEOUT_NS = 20_000_000_000L;
 
     private final Path root;
+    private final DiskSync diskSync;
     private final Map<String, StorageNode> storageNodes = new LinkedHashMap<>();
     private final Registry registry = new Registry();
     private final CurrentView clientViews = new CurrentView(view -> {});
@@ -113,7 +119,15 @@
     }
 
     StorageNodeCluster(Path root, String... nodes) throws Exception {
+        this(root, _ -> {}, nodes);
+    }
+
+    /**
+     * @param diskSync called in place of a sync of the disk
+     */
+    StorageNodeCluster(Path root, DiskSync diskSync, String... nodes) throws Exception {
         this.root = root;
+        this.diskSync = diskSync;
         for (String node : nodes) {
             add(node);
         }
@@ -133,7 +147,7 @@
     private void start(StorageNode storageNode, int port) throws IOException {
         Path folder = root.resolve(storageNode.node);
         storageNode.views = new CurrentView(view -> {});
-        storageNode.index = new RecordIndex(folder.resolve("records"), this::wallClockMs);
+        storageNode.index = new RecordIndex(folder.resolve("records"), this::wallClockMs, diskSync);
         HttpServer[] server = new HttpServer[1];
         StorageNodeHandler[] handler = new StorageNodeHandler[1];
         server[0] = bind(port, call -> handler[0].handle(call));
--- a/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
+++ b/skylarkmast-standins/src/test/java/org/skylarkmast/standins/relay/MirrorClientTest.java
@@ -38,6 +38,7 @@
 import org.skylarkmast.relay.mirror.MirrorExchange;
 import org.skylarkmast.relay.mirror.StoreFollower;
 import org.skylarkmast.relay.mirror.StoreMirror;
+import org.skylarkmast.relay.storage.DiskSync;
 import org.skylarkmast.relay.storage.QuorumMembership;
 import org.skylarkmast.relay.storage.RecordIndex;
 import org.skylarkmast.relay.storage.StorageNodeHandler;
@@ -98,7 +99,9 @@
         final LedgerView.Member self;
 
         StorageNode(String node) throws IOException {
-            index = new RecordIndex(folder.resolve(node), System::currentTimeMillis);
+            index =
+                    new RecordIndex(
+                            folder.resolve(node), System::currentTimeMillis, DiskSync.FILE_DATA);
             StorageNodeHandler[] handler = new StorageNodeHandler[1];
             server = HttpServer.start("127.0.0.1", 0, 1 << 20, call -> handler[0].handle(call));
             self = new LedgerView.Member(node, "127.0.0.1:" + server.port());
