[storage] The ledger goes on from half of an even view

Cause: the view still named four, two of them gone, and no change could follow it. ViewChange waited for a write quorum (three) of synced members; a storage node counted as synced after reading members of that same view, gone ones included; what it was synced to, and the view, were in memory only, so after a restart of all nobody was synced.

Evidence: view_change and keeper_synced are missing on all nodes after the loss, while the successor prefetches and the coordinator's rounds run.

Change: - ViewStore keeps the view and the synced version on disk. A view comes into force once it is stored, so a restart takes no promise back. - SyncRule: a storage node is synced after reading, with itself, a recovery quorum (N-W+1) of the previous view, or any storage node that is synced. - ViewChange goes on from a recovery quorum of synced members: the one silent longest (3 s) is left out or, at an even size, replaced. A member lost for 6 s leaves odd views as well. A retirement waits until the rest bears one more loss. - A write during which the view changed is not acknowledged. - A storage node defers to a lower-named one only if that one votes.

Why it works: each write quorum contains a member of any N-W+1, so those hold every acknowledged record, and once they refuse the old view no write quorum of it is left. Views are still published by compare-and-swap.

Wire formats are unchanged.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerView.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/ledger/LedgerView.java
@@ -6,8 +6,8 @@
 /**
  * The versioned set of storage nodes that hold the ledger, as published in the key-value service.
  *
- * <p>Consecutive views differ by one storage node, so that a quorum of one and a quorum of the next
- * always overlap.
+ * <p>The next view adds one storage node, leaves one out or, at an even size, puts one in the place
+ * of another. So a write quorum of one view and one of the next always overlap.
  *
  * @param version increases by one with each change; 0 stands for no published view
  */
@@ -47,11 +47,36 @@
         return new LedgerView(version + 1, reduced);
     }
 
+    /**
+     * The next view, with {@code added} in the place of {@code removed}.
+     *
+     * @throws IllegalStateException if the size is odd: quorums of the two views might not overlap
+     */
+    public LedgerView replacing(Member removed, Member added) {
+        if (members.size() % 2 != 0) {
+            throw new IllegalStateException("cannot replace a member of a view of odd size");
+        }
+        List<Member> replaced = new ArrayList<>(members);
+        replaced.remove(removed);
+        replaced.add(added);
+        return new LedgerView(version + 1, replaced);
+    }
+
     /** Number of storage nodes that must have a write on disk before it is acknowledged. */
     public int writeQuorum() {
         return members.size() / 2 + 1;
     }
 
+    /**
+     * Number of members that suffice to go on to the next view: each write quorum contains one of
+     * them, so together they hold every acknowledged record, and once they refuse writes under this
+     * view no write can be acknowledged under it. At an even size that is one less than a write
+     * quorum.
+     */
+    public int recoveryQuorum() {
+        return members.size() - writeQuorum() + 1;
+    }
+
     /**
      * Number of storage nodes that must lack a record before it counts as absent. It is large
      * enough that they cannot all lack an acknowledged record, even if one copy was lost with its
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/StorageNode.java
@@ -31,6 +31,7 @@
 import org.skylarkmast.relay.storage.StorageNodeHandler;
 import org.skylarkmast.relay.storage.StorageNodeRegistry;
 import org.skylarkmast.relay.storage.ViewCoordinator;
+import org.skylarkmast.relay.storage.ViewStore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -55,7 +56,7 @@
     private static final int SEND_BURST_REQUESTS = 2;
 
     private final Semaphore wakeUps = new Semaphore(0);
-    private final CurrentView views = new CurrentView(view -> wakeUps.release());
+    private final CurrentView views;
     private final LoadReportAggregator loadReports =
             new LoadReportAggregator(System::nanoTime, new Random());
     private final RecordIndex index;
@@ -84,8 +85,11 @@
             Function<CurrentView, StoreMirror.Listener> listenerFactory)
             throws IOException {
         this.settings = settings;
-        StoreMirror content = new StoreMirror(listenerFactory.apply(views), System::nanoTime);
         Path dataFolder = settings.dataFolder();
+        ViewStore viewStore = new ViewStore(dataFolder, DiskSync.FILE_DATA);
+        views = new CurrentView(viewStore::storeView, view -> wakeUps.release());
+        views.offer(viewStore.latest());
+        StoreMirror content = new StoreMirror(listenerFactory.apply(views), System::nanoTime);
         self =
                 new LedgerView.Member(
                         settings.node(), settings.ip() + ":" + settings.internalPort());
@@ -94,7 +98,7 @@
                         dataFolder.resolve("records"),
                         new SteadyTimeOfDay(System::currentTimeMillis, System::nanoTime),
                         DiskSync.FILE_DATA);
-        membership = new QuorumMembership(self, dataFolder, views);
+        membership = new QuorumMembership(self, viewStore, views);
         storageNodes =
                 new StorageNodeClient(
                         new HttpClient(PEER_IDLE_CONNECTIONS, PEER_CONNECT_TIMEOUT_MS),
@@ -105,16 +109,7 @@
         mirror =
                 new MirrorExchange(content, storageNodes, follower::connected, keyCurrency.proof());
         PrometheusRegistry registry = new PrometheusRegistry();
-        GaugeWithCallback.builder()
-                .name("skylarkmast_turns_held")
-                .help("Turns on this keeper's disk.")
-                .callback(callback -> callback.call(index.turnCount()))
-                .register(registry);
-        GaugeWithCallback.builder()
-                .name("skylarkmast_keeper_voting")
-                .help("Whether this keeper takes part in quorums.")
-                .callback(callback -> callback.call(membership.voting() ? 1 : 0))
-                .register(registry);
+        registerGauges(registry);
         keyCurrency.register(registry);
         MirrorGauges.register(
                 registry,
@@ -150,6 +145,19 @@
                 .log();
     }
 
+    private void registerGauges(PrometheusRegistry registry) {
+        GaugeWithCallback.builder()
+                .name("skylarkmast_turns_held")
+                .help("Turns on this keeper's disk.")
+                .callback(callback -> callback.call(index.turnCount()))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("skylarkmast_keeper_voting")
+                .help("Whether this keeper takes part in quorums.")
+                .callback(callback -> callback.call(membership.voting() ? 1 : 0))
+                .register(registry);
+    }
+
     /** Returns the name and address under which this storage node registers. */
     public LedgerView.Member self() {
         return self;
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/QuorumMembership.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/QuorumMembership.java
@@ -2,10 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import org.skylarkmast.relay.ledger.CurrentView;
 import org.skylarkmast.relay.ledger.LedgerView;
 import org.slf4j.Logger;
@@ -14,27 +10,27 @@
 /**
  * Tracks whether this storage node takes part in quorums; thread-safe.
  *
- * <p>A storage node with an empty disk takes part only after an initial sync that fetches the
- * records of the other storage nodes. A marker file on the disk records that this sync is done. A
- * storage node with the marker takes part at once after a restart: it may lack records written
- * while it was down, which quorums tolerate.
+ * <p>It does once it holds all records that were acknowledged before the view that precedes the
+ * current one. Records acknowledged under the preceding view need not have been fetched yet: write
+ * quorums of the two views overlap. The version up to which its records are complete is on disk, so
+ * it takes part at once after a restart: it may lack records written while it was down, which
+ * quorums tolerate.
  */
 public final class QuorumMembership {
     private static final Logger LOG = LoggerFactory.getLogger(QuorumMembership.class);
-    private static final String INITIAL_SYNC_MARKER = "joined";
 
     private final LedgerView.Member self;
-    private final Path folder;
+    private final ViewStore viewStore;
     private final CurrentView views;
-    private volatile boolean initialSyncDone;
-    private volatile long syncedVersion;
 
-    /** Reads the marker in {@code folder}. */
-    public QuorumMembership(LedgerView.Member self, Path folder, CurrentView views) {
+    /**
+     * @param viewStore the sync state on this storage node's disk
+     * @param views the current view
+     */
+    public QuorumMembership(LedgerView.Member self, ViewStore viewStore, CurrentView views) {
         this.self = self;
-        this.folder = folder;
+        this.viewStore = viewStore;
         this.views = views;
-        this.initialSyncDone = Files.exists(folder.resolve(INITIAL_SYNC_MARKER));
     }
 
     /** This storage node. */
@@ -44,53 +40,59 @@
 
     /** Whether it answers quorum calls under the current view. */
     public boolean voting() {
-        return initialSyncDone && views.current().contains(self);
+        LedgerView view = views.current();
+        return view.contains(self) && isCompleteBefore(view);
+    }
+
+    private boolean isCompleteBefore(LedgerView view) {
+        long synced = syncedVersion(view);
+        return synced > 0 && synced >= view.version() - 1;
     }
 
     /** Whether its disk has at some time held all acknowledged records. */
     public boolean initialSyncDone() {
-        return initialSyncDone;
+        return viewStore.initialSyncDone() || viewStore.syncedVersion() > 0;
     }
 
     /** The status that it reports to other storage nodes. */
     public StorageNodeStatus status() {
-        return new StorageNodeStatus(views.current(), voting(), syncedVersion);
-    }
-
-    /** Version of the view under which its last complete sync ran; 0 before the first. */
-    public long syncedVersion() {
-        return syncedVersion;
+        LedgerView view = views.current();
+        return new StorageNodeStatus(view, voting(), syncedVersion(view));
     }
 
     /**
-     * Records that this storage node has fetched the records of the other members of view {@code
-     * version} and has them on disk.
+     * Version of a view before which it holds all acknowledged records, as seen under {@code view};
+     * 0 if its disk has never held them.
      */
-    public synchronized void markSynced(long version) {
-        if (!initialSyncDone) {
-            createMarker();
-            initialSyncDone = true;
-        }
-        syncedVersion = Math.max(syncedVersion, version);
-        LOG.atInfo().addKeyValue("event", "keeper_synced").addKeyValue("view", version).log();
+    long syncedVersion(LedgerView view) {
+        long synced = viewStore.syncedVersion();
+        // The disk of an earlier release does not tell the version. There, a storage node whose
+        // initial sync was done took part in each view.
+        return synced == 0 && viewStore.initialSyncDone() ? view.version() - 1 : synced;
     }
 
-    /**
-     * Records that this storage node, not a member yet, has fetched the records of the members of
-     * view {@code version}.
-     */
-    public void markPrefetched(long version) {
-        syncedVersion = Math.max(syncedVersion, version);
-        LOG.atInfo().addKeyValue("event", "keeper_prefetched").addKeyValue("view", version).log();
+    /** The view before {@code view}, or null if this storage node has not received it. */
+    LedgerView previousOf(LedgerView view) {
+        return viewStore.view(view.version() - 1);
     }
 
-    private void createMarker() {
-        Path marker = folder.resolve(INITIAL_SYNC_MARKER);
-        try (FileChannel channel =
-                FileChannel.open(marker, StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
-            channel.force(true);
+    /**
+     * Records that this storage node has on disk all records acknowledged before {@code view}.
+     *
+     * @throws UncheckedIOException if that could not be written to disk
+     */
+    void markSynced(LedgerView view) {
+        try {
+            viewStore.storeSyncedVersion(view.version());
+            if (view.contains(self)) {
+                viewStore.storeInitialSync();
+            }
         } catch (IOException e) {
-            throw new UncheckedIOException("cannot create or sync marker file " + marker, e);
+            throw new UncheckedIOException("cannot store the synced version", e);
         }
+        LOG.atInfo()
+                .addKeyValue("event", view.contains(self) ? "keeper_synced" : "keeper_prefetched")
+                .addKeyValue("view", view.version())
+                .log();
     }
 }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordSync.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/RecordSync.java
@@ -3,7 +3,9 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -46,34 +48,38 @@
             List<RecordIndex.AttemptOrigins> origins) {}
 
     /**
-     * Fetches missing records from the members of {@code view}, and from {@code leaving}, which may
-     * hold copies too. A storage node that is not a member yet prefetches, so that little is left
-     * to fetch once it is added: it takes no part in quorums before it has fetched the rest.
+     * Fetches missing records from {@code sources}, and notes that this storage node is synced to
+     * {@code view} if they were enough. A storage node that is not a member yet does the same, so
+     * that it can take part in quorums as soon as it is added.
      *
-     * @return whether enough members were read for this storage node to hold all acknowledged
-     *     records
+     * @param sources storage nodes to read, each with the version of a view before which it holds
+     *     all acknowledged records
      */
-    boolean fetchMissing(LedgerView view, List<LedgerView.Member> leaving) {
-        List<LedgerView.Member> sources = new ArrayList<>(view.members());
-        sources.remove(membership.self());
-        int required = view.members().size() - Math.max(1, view.writeQuorum() - 1);
-        int read = 0;
-        for (LedgerView.Member source : sources) {
-            if (fetchFrom(source, view)) {
-                read++;
-            }
-        }
-        leaving.forEach(member -> fetchFrom(member, view));
-        if (read < Math.min(required, sources.size())
-                || views.current().version() != view.version()) {
-            return false;
-        }
-        if (view.contains(membership.self())) {
-            membership.markSynced(view.version());
+    void fetchMissing(LedgerView view, Map<LedgerView.Member, Long> sources) {
+        Map<LedgerView.Member, Long> read = new HashMap<>();
+        sources.forEach(
+                (source, syncedVersion) -> {
+                    if (fetchFrom(source, view)) {
+                        read.put(source, syncedVersion);
+                    }
+                });
+        boolean complete =
+                SyncRule.isComplete(
+                        view,
+                        membership.previousOf(view),
+                        membership.self(),
+                        membership.syncedVersion(view),
+                        read);
+        if (complete && views.current().version() == view.version()) {
+            membership.markSynced(view);
         } else {
-            membership.markPrefetched(view.version());
+            LOG.atInfo()
+                    .addKeyValue("event", "keeper_not_synced")
+                    .addKeyValue("view", view.version())
+                    .addKeyValue("syncedVersion", membership.syncedVersion(view))
+                    .addKeyValue("read", read)
+                    .log();
         }
-        return true;
     }
 
     /**
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/StorageNodeHandler.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/StorageNodeHandler.java
@@ -104,21 +104,29 @@
             long version = Long.parseLong(call.query().getOrDefault("view", "0"));
             LedgerView view = views.current();
             if (version < view.version()) {
-                return new HttpReply.Full(
-                        StorageNodeClient.STATUS_NEWER_VIEW,
-                        Map.of(),
-                        StorageNodeClient.MEDIA_TYPE,
-                        LedgerCodec.encode(out -> LedgerCodec.writeView(out, view)));
+                return newerViewReply(view);
             }
             if (version > view.version() || !mayServe(operation)) {
                 return HttpReply.text(UNAVAILABLE, "not part of view " + version + "\n");
             }
-            return LedgerCodec.decode(call.body(), in -> answer(operation, version, in));
+            HttpReply reply = LedgerCodec.decode(call.body(), in -> answer(operation, version, in));
+            // Others may have fetched the records of this view before the write was done.
+            LedgerView viewAfter = views.current();
+            boolean outdated = isWrite(operation) && viewAfter.version() != version;
+            return outdated ? newerViewReply(viewAfter) : reply;
         } catch (IOException | NumberFormatException e) {
             return failureReply(operation, e);
         }
     }
 
+    private static boolean isWrite(LedgerOperation operation) {
+        return switch (operation) {
+            case RESERVE, SETTLE, APPEND -> true;
+            case USAGE, CHAIN, SUMMARY, FETCH, PING, REPORT, TALLIES, CHANGES -> false;
+            case ADMIT, LEASE, RELAY_LEASE -> false;
+        };
+    }
+
     /** A storage node that has left the view still serves its copies to the remaining members. */
     private boolean mayServe(LedgerOperation operation) {
         return switch (operation) {
@@ -308,6 +316,14 @@
                 200, Map.of(), StorageNodeClient.MEDIA_TYPE, LedgerCodec.encode(writer));
     }
 
+    private static HttpReply newerViewReply(LedgerView view) {
+        return new HttpReply.Full(
+                StorageNodeClient.STATUS_NEWER_VIEW,
+                Map.of(),
+                StorageNodeClient.MEDIA_TYPE,
+                LedgerCodec.encode(out -> LedgerCodec.writeView(out, view)));
+    }
+
     private static HttpReply failureReply(LedgerOperation operation, Exception cause) {
         LOG.atWarn()
                 .addKeyValue("event", "ledger_call_failed")
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/StorageNodeRegistry.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/StorageNodeRegistry.java
@@ -26,8 +26,8 @@
     /**
      * Reports the progress of the retirement of {@code node}.
      *
-     * @param done true once the node has left the view and a quorum of the view holds all records,
-     *     false while the retirement is in progress
+     * @param done true once the node has left the view and the others can bear the loss of one
+     *     more, false while the retirement is in progress
      * @return whether the report was stored
      */
     boolean reportRetirement(String node, boolean done);
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/ViewChange.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/ViewChange.java
@@ -8,16 +8,26 @@
 /**
  * Decides on the next view; has no side effects.
  *
- * <p>Reacts to hosts that are added, lost for good or being retired. A view changes by one storage
- * node at a time, and only once a quorum of the current view has fetched all records acknowledged
- * before it: then every record has a quorum of copies again, and after the next change each quorum
- * still contains one of them.
+ * <p>Reacts to hosts that are added, lost for good or being retired. A view is followed by the next
+ * once a quorum of its members are synced to it, that is, each of them holds all records
+ * acknowledged before it: then every record has a quorum of copies again. If so many members are
+ * gone that no quorum is left, a {@linkplain LedgerView#recoveryQuorum() recovery quorum} of synced
+ * members still holds all records, and the next view leaves out a member that does not answer.
  */
 final class ViewChange {
 
     /** Time without a response after which a member may be removed from the view. */
     static final long LOST_AFTER_MS = 6000;
 
+    /**
+     * Time without a response after which a member may be removed from a view without a quorum.
+     * Nothing is served until one is removed, but a process that restarts should not be.
+     */
+    static final long SILENT_AFTER_MS = 3000;
+
+    /** Time since the last response up to which a storage node counts as reachable. */
+    static final long REACHABLE_MS = 1500;
+
     private ViewChange() {}
 
     /**
@@ -26,11 +36,17 @@
      * @param status its last reported status, or null if it never answered
      * @param sinceResponseMs time since its last response, or since the first failed ping if it
      *     never answered
+     * @param missedLastPing whether the last ping failed
      */
-    record Peer(StorageNodeStatus status, long sinceResponseMs) {
+    record Peer(StorageNodeStatus status, long sinceResponseMs, boolean missedLastPing) {
 
         boolean reachable() {
-            return status != null && sinceResponseMs < 1500;
+            return status != null && sinceResponseMs < REACHABLE_MS;
+        }
+
+        /** Whether it answered just before, but may have been lost since. */
+        boolean uncertain() {
+            return reachable() && missedLastPing;
         }
     }
 
@@ -40,7 +56,8 @@
      * @param peers the state of members and candidates, including this storage node
      * @param candidates registered storage nodes
      * @param retiring names of hosts being retired
-     * @param minMembers number of storage nodes below which a view must not shrink
+     * @param minMembers number of storage nodes below which a view must not shrink; one more than
+     *     the number of losses to bear
      */
     static LedgerView next(
             LedgerView view,
@@ -48,63 +65,120 @@
             List<LedgerView.Member> candidates,
             Set<String> retiring,
             int minMembers) {
-        if (!quorumSynced(view, peers)) {
+        long synced = syncedCount(view, view, peers);
+        if (synced < view.recoveryQuorum()) {
             return null;
         }
-        for (LedgerView.Member candidate : candidates) {
-            if (!view.contains(candidate)
-                    && !retiring.contains(candidate.node())
-                    && reachable(peers, candidate)
-                    && peers.get(candidate).status().syncedVersion() == view.version()) {
-                return view.with(candidate);
-            }
+        LedgerView.Member ready = firstReady(view, peers, candidates, retiring);
+        if (synced < view.writeQuorum()) {
+            return nextWithoutQuorum(view, peers, ready, minMembers);
+        }
+        if (view.members().stream().anyMatch(member -> isUncertain(member, peers))) {
+            // With a lost member among them, more members would not bear more losses.
+            return null;
+        }
+        if (ready != null) {
+            return view.with(ready);
         }
         int size = view.members().size();
         for (LedgerView.Member member : view.members()) {
             if (size > minMembers
                     && retiring.contains(member.node())
-                    && hasQuorumWithout(view, member, peers)) {
+                    && canBearLosses(view.without(member), view, peers, minMembers - 1)) {
                 return view.without(member);
             }
         }
-        for (LedgerView.Member member : view.members()) {
-            Peer peer = peers.get(member);
-            boolean lost = peer == null || peer.sinceResponseMs() > LOST_AFTER_MS;
-            // Removing a member from a view of odd size would not make the quorum smaller.
-            if (lost
-                    && size % 2 == 0
-                    && size - 1 > minMembers
-                    && hasQuorumWithout(view, member, peers)) {
-                return view.without(member);
+        // At an odd size the write quorum stays as it is, but the recovery quorum gets smaller.
+        LedgerView.Member lost = longestSilent(view, peers, LOST_AFTER_MS);
+        return lost != null && size > minMembers ? view.without(lost) : null;
+    }
+
+    /**
+     * The next view of one whose remaining members are a recovery quorum, but not a write quorum;
+     * its size is even. A storage node that waits to be added takes the place of the lost one:
+     * beside it, the lost one would count towards the size of the next view.
+     */
+    private static LedgerView nextWithoutQuorum(
+            LedgerView view,
+            Map<LedgerView.Member, Peer> peers,
+            LedgerView.Member ready,
+            int minMembers) {
+        LedgerView.Member silent = longestSilent(view, peers, SILENT_AFTER_MS);
+        if (silent == null) {
+            return null;
+        }
+        LedgerView next = null;
+        if (ready != null) {
+            next = view.replacing(silent, ready);
+        } else if (view.members().size() > minMembers) {
+            next = view.without(silent);
+        }
+        boolean hasQuorum = next != null && syncedCount(next, view, peers) >= next.writeQuorum();
+        return hasQuorum ? next : null;
+    }
+
+    /**
+     * Whether a storage node that was retired may be taken away: a quorum of {@code view} is synced
+     * to it, and records and service survive {@code losses} more.
+     */
+    static boolean canBearLosses(LedgerView view, Map<LedgerView.Member, Peer> peers, int losses) {
+        return canBearLosses(view, view, peers, losses);
+    }
+
+    private static boolean canBearLosses(
+            LedgerView next, LedgerView view, Map<LedgerView.Member, Peer> peers, int losses) {
+        return syncedCount(next, view, peers)
+                >= Math.max(next.writeQuorum(), next.recoveryQuorum() + losses);
+    }
+
+    /** Number of reachable members of {@code next} that are synced to {@code view}. */
+    private static long syncedCount(
+            LedgerView next, LedgerView view, Map<LedgerView.Member, Peer> peers) {
+        return next.members().stream().filter(member -> isSynced(view, member, peers)).count();
+    }
+
+    private static boolean isSynced(
+            LedgerView view, LedgerView.Member member, Map<LedgerView.Member, Peer> peers) {
+        Peer peer = peers.get(member);
+        return peer != null
+                && peer.reachable()
+                && peer.status().syncedVersion() == view.version()
+                && peer.status().view().version() == view.version();
+    }
+
+    private static boolean isUncertain(
+            LedgerView.Member member, Map<LedgerView.Member, Peer> peers) {
+        Peer peer = peers.get(member);
+        return peer != null && peer.uncertain();
+    }
+
+    private static LedgerView.Member firstReady(
+            LedgerView view,
+            Map<LedgerView.Member, Peer> peers,
+            List<LedgerView.Member> candidates,
+            Set<String> retiring) {
+        for (LedgerView.Member candidate : candidates) {
+            if (!view.contains(candidate)
+                    && !retiring.contains(candidate.node())
+                    && isSynced(view, candidate, peers)) {
+                return candidate;
             }
         }
         return null;
     }
 
-    /** Whether a quorum of {@code view} holds all records acknowledged before it. */
-    static boolean quorumSynced(LedgerView view, Map<LedgerView.Member, Peer> peers) {
-        int synced = 0;
+    private static LedgerView.Member longestSilent(
+            LedgerView view, Map<LedgerView.Member, Peer> peers, long minSilenceMs) {
+        LedgerView.Member longest = null;
+        long longestMs = minSilenceMs;
         for (LedgerView.Member member : view.members()) {
             Peer peer = peers.get(member);
-            if (peer != null
-                    && peer.reachable()
-                    && peer.status().voting()
-                    && peer.status().syncedVersion() == view.version()) {
-                synced++;
+            long silenceMs = peer == null ? Long.MAX_VALUE : peer.sinceResponseMs();
+            if (silenceMs > longestMs) {
+                longest = member;
+                longestMs = silenceMs;
             }
         }
-        return synced >= view.writeQuorum();
-    }
-
-    private static boolean hasQuorumWithout(
-            LedgerView view, LedgerView.Member leaving, Map<LedgerView.Member, Peer> peers) {
-        LedgerView next = view.without(leaving);
-        long reachable = next.members().stream().filter(member -> reachable(peers, member)).count();
-        return reachable >= next.writeQuorum();
-    }
-
-    private static boolean reachable(Map<LedgerView.Member, Peer> peers, LedgerView.Member member) {
-        Peer peer = peers.get(member);
-        return peer != null && peer.reachable();
+        return longest;
     }
 }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/ViewCoordinator.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/ViewCoordinator.java
@@ -47,9 +47,9 @@
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final Map<LedgerView.Member, StorageNodeStatus> statuses = new HashMap<>();
     private final Map<LedgerView.Member, Long> lastResponseNs = new HashMap<>();
+    private final Set<LedgerView.Member> missedLastPing = new HashSet<>();
     private final Set<String> reportedDone = new HashSet<>();
     private final Set<String> reportedBegun = new HashSet<>();
-    private LedgerView previousView = LedgerView.NONE;
 
     /**
      * @param mayBootstrap whether the system starts for the first time, so that the first view may
@@ -84,18 +84,13 @@
         }
         ping(view);
         if (needsSync(view)) {
-            List<LedgerView.Member> leaving = new ArrayList<>(registry.registered());
-            leaving.addAll(previousView.members());
-            leaving.removeAll(view.members());
-            leaving.removeIf(member -> sinceResponseMs(member) > MAX_SILENCE_MS);
-            recordSync.fetchMissing(view, leaving.stream().distinct().toList());
+            recordSync.fetchMissing(view, syncSources());
         } else if (membership.voting()) {
             List<LedgerView.Member> sources = new ArrayList<>(view.members());
             sources.remove(membership.self());
             sources.removeIf(member -> sinceResponseMs(member) > MAX_SILENCE_MS);
             recordSync.fetchMissedTurns(view, sources);
         }
-        previousView = view;
         if (isCoordinator(view)) {
             changeView(view);
         }
@@ -109,7 +104,18 @@
         boolean remains =
                 view.contains(membership.self())
                         || !registry.retiring().contains(membership.self().node());
-        return remains && membership.syncedVersion() != view.version();
+        return remains && membership.syncedVersion(view) < view.version();
+    }
+
+    private Map<LedgerView.Member, Long> syncSources() {
+        Map<LedgerView.Member, Long> sources = new HashMap<>();
+        statuses.forEach(
+                (member, status) -> {
+                    if (sinceResponseMs(member) <= MAX_SILENCE_MS) {
+                        sources.put(member, status.syncedVersion());
+                    }
+                });
+        return sources;
     }
 
     private void publishFirstView() {
@@ -124,6 +130,10 @@
     private void ping(LedgerView view) throws InterruptedException {
         Set<LedgerView.Member> known = new LinkedHashSet<>(view.members());
         known.addAll(registry.registered());
+        LedgerView previous = membership.previousOf(view);
+        if (previous != null && needsSync(view)) {
+            known.addAll(previous.members());
+        }
         known.remove(membership.self());
         byte[] body = LedgerCodec.encode(out -> LedgerCodec.writeView(out, view));
         Map<LedgerView.Member, Future<StorageNodeStatus>> calls = new HashMap<>();
@@ -152,23 +162,30 @@
                 statuses.put(call.getKey(), status);
                 lastResponseNs.put(call.getKey(), clockNs.getAsLong());
                 views.offer(status.view());
+                missedLastPing.remove(call.getKey());
             } else {
+                missedLastPing.add(call.getKey());
                 // Without any response, the time counts from the first failed ping.
                 lastResponseNs.putIfAbsent(call.getKey(), clockNs.getAsLong());
             }
         }
         statuses.keySet().retainAll(known);
         lastResponseNs.keySet().retainAll(known);
+        missedLastPing.retainAll(known);
     }
 
-    /** The first reachable member in order of name acts, so that usually only one does. */
+    /** The first reachable voting member in order of name acts, so that usually only one does. */
     private boolean isCoordinator(LedgerView view) {
         if (!membership.voting()) {
             return false;
         }
         for (LedgerView.Member member : view.members()) {
             boolean before = member.node().compareTo(membership.self().node()) < 0;
-            if (before && statuses.containsKey(member) && sinceResponseMs(member) < 1500) {
+            StorageNodeStatus status = statuses.get(member);
+            if (before
+                    && status != null
+                    && status.voting()
+                    && sinceResponseMs(member) < ViewChange.REACHABLE_MS) {
                 return false;
             }
         }
@@ -177,14 +194,17 @@
 
     private void changeView(LedgerView view) {
         Map<LedgerView.Member, ViewChange.Peer> peers = new HashMap<>();
-        statuses.forEach(
-                (member, status) ->
-                        peers.put(member, new ViewChange.Peer(status, sinceResponseMs(member))));
-        lastResponseNs.forEach(
-                (member, ns) ->
-                        peers.putIfAbsent(
-                                member, new ViewChange.Peer(null, sinceResponseMs(member))));
-        peers.put(membership.self(), new ViewChange.Peer(membership.status(), 0));
+        lastResponseNs
+                .keySet()
+                .forEach(
+                        member ->
+                                peers.put(
+                                        member,
+                                        new ViewChange.Peer(
+                                                statuses.get(member),
+                                                sinceResponseMs(member),
+                                                missedLastPing.contains(member))));
+        peers.put(membership.self(), new ViewChange.Peer(membership.status(), 0, false));
         Set<String> retiring = registry.retiring();
         LedgerView next =
                 ViewChange.next(view, peers, registry.registered(), retiring, minStorageNodes);
@@ -204,7 +224,7 @@
             LedgerView view, Map<LedgerView.Member, ViewChange.Peer> peers, Set<String> retiring) {
         for (String node : retiring) {
             boolean member = view.members().stream().anyMatch(m -> m.node().equals(node));
-            boolean done = !member && ViewChange.quorumSynced(view, peers);
+            boolean done = !member && ViewChange.canBearLosses(view, peers, minStorageNodes - 1);
             Set<String> reported = done ? reportedDone : reportedBegun;
             if (!reported.contains(node) && registry.reportRetirement(node, done)) {
                 reported.add(node);
