[storage] Drawn sequences of restarts, replacements, retirements and losses

StorageNodeFaultSequenceTest draws what storage nodes must bear and checks in calm that a write is acknowledged, that each acknowledged turn is there and that the lost ones have left the view. A loss may follow a planned replacement or a retirement that was reported as done at any time.

--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeCluster.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeCluster.java
@@ -68,7 +68,9 @@
                 return false;
             }
             view = next;
-            storageNodes.values().forEach(storageNode -> storageNode.views.offer(next));
+            storageNodes.values().stream()
+                    .filter(storageNode -> storageNode.server != null)
+                    .forEach(storageNode -> storageNode.views.offer(next));
             clientViews.offer(next);
             return true;
         }
@@ -271,6 +273,11 @@
         runAllRounds();
     }
 
+    /** Lets time pass without a round. */
+    void passTime(long ms) {
+        clockAheadMs.addAndGet(ms);
+    }
+
     /** Starts a stopped storage node at its previous address. */
     void restart(String node) throws IOException {
         StorageNode storageNode = storageNodes.get(node);
@@ -335,6 +342,12 @@
         return storageNodes.get(node).membership.voting();
     }
 
+    /** Whether a storage node has fetched all that was acknowledged before the current view. */
+    boolean synced(String node) {
+        return storageNodes.get(node).membership.status().syncedVersion()
+                == registry.view.version();
+    }
+
     LedgerClient client() {
         return new LedgerClient(
                 clientViews,
