[storage] A sync does not need each source to be synced itself

What callers would see: a view of three is followed by the next one while a member restarts; before the others are synced to that view one of them is lost. The two that are left wait for each other for good, though they hold all that was acknowledged. Cause: SyncRule counted only members synced to the previous view towards its recovery quorum. A member's disk holds what the member wrote under that view whether it was synced or not; only the records from before need one source (or the storage node itself) that was. Change: one that is synced to the previous view, and a recovery quorum of its members that were synced at some time. Blank disks are as before.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/SyncRule.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/storage/SyncRule.java
@@ -36,19 +36,26 @@
             // Records of this view may have had a copy on its former disk: read the other copies.
             return countInView(view, self, readVersions, view.version()) >= view.recoveryQuorum();
         }
-        if (readVersions.values().stream().anyMatch(version -> version >= view.version())) {
+        if (isAnySynced(readVersions, view.version())) {
             return true;
         }
         long previousVersion = view.version() - 1;
-        if (ownSyncedVersion < previousVersion) {
-            return false;
-        }
-        return holdsPrevious(previous, self, readVersions)
-                || countInView(view, self, readVersions, previousVersion) >= view.recoveryQuorum();
+        boolean completeBeforePrevious =
+                ownSyncedVersion >= previousVersion || isAnySynced(readVersions, previousVersion);
+        return completeBeforePrevious
+                && (holdsAllOfPrevious(previous, self, readVersions)
+                        || countInView(view, self, readVersions, 1) >= view.recoveryQuorum());
+    }
+
+    private static boolean isAnySynced(Map<LedgerView.Member, Long> readVersions, long version) {
+        return readVersions.values().stream().anyMatch(read -> read >= version);
     }
 
-    /** Whether {@code self} and those read include a copy of all that {@code previous} held. */
-    private static boolean holdsPrevious(
+    /**
+     * Whether {@code self} and those read include a copy of all that {@code previous} acknowledged:
+     * a member's disk holds what the member wrote, even if it is not synced to {@code previous}.
+     */
+    private static boolean holdsAllOfPrevious(
             LedgerView previous,
             LedgerView.Member self,
             Map<LedgerView.Member, Long> readVersions) {
@@ -56,8 +63,7 @@
             return false;
         }
         int own = previous.contains(self) ? 1 : 0;
-        return own + countInView(previous, self, readVersions, previous.version())
-                >= previous.recoveryQuorum();
+        return own + countInView(previous, self, readVersions, 1) >= previous.recoveryQuorum();
     }
 
     private static long countInView(
--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeReplacementTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeReplacementTest.java
@@ -166,6 +166,31 @@
         }
     }
 
+    /** Guards against a sync that waits for storage nodes synced to the previous view, one lost. */
+    @Test
+    void ledgerIsBackAfterALossBeforeTheOthersAreSyncedToTheNewView() throws Exception {
+        try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c", "d")) {
+            LedgerClient client = cluster.client();
+            append(client, "t1", "");
+            cluster.stop("d");
+            cluster.passSilence(ViewChange.REACHABLE_MS);
+            cluster.stop("c");
+            cluster.passSilence(ViewChange.SILENT_AFTER_MS + 1);
+            append(client, "t2", "t1");
+            assertThat(members(cluster)).containsExactly("a", "b", "c");
+            cluster.add("e");
+            cluster.runRound("b");
+            cluster.runRound("e");
+            cluster.runRound("a");
+            assertThat(members(cluster)).containsExactly("a", "b", "c", "e");
+            cluster.stop("a");
+            cluster.restart("c");
+            cluster.passSilence(LOST_MS);
+            append(client, "t3", "t2");
+            assertChain(client, "t1", "t2", "t3");
+        }
+    }
+
     @Test
     void storageNodeThatIsBackAfterItWasLeftOutIsAddedAgain() throws Exception {
         try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c", "d")) {
