--- a/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeReplacementTest.java
+++ b/skylarkmast-relay/src/test/java/org/skylarkmast/relay/storage/StorageNodeReplacementTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -191,6 +192,28 @@
         }
     }
 
+    /** Guards against a view of five with two that were replaced and one that is lost. */
+    @Tag("known-red")
+    @Test
+    void ledgerIsBackAfterALossThatFollowsTwoPlannedReplacements() throws Exception {
+        try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c")) {
+            LedgerClient client = cluster.client();
+            append(client, "t1", "");
+            cluster.add("d");
+            cluster.add("e");
+            cluster.runAllRounds();
+            cluster.stop("a");
+            cluster.stop("b");
+            cluster.passSilence(ViewChange.SILENT_AFTER_MS + 1);
+            append(client, "t2", "t1");
+            cluster.stop("c");
+            cluster.add("f");
+            cluster.passSilence(LOST_MS);
+            append(client, "t3", "t2");
+            assertChain(client, "t1", "t2", "t3");
+        }
+    }
+
     @Test
     void storageNodeThatIsBackAfterItWasLeftOutIsAddedAgain() throws Exception {
         try (StorageNodeCluster cluster = new StorageNodeCluster(folder, "a", "b", "c", "d")) {
