[relay] An early answer is not lost by callers with bodies over 1 MiB

What callers saw: a request that is rejected by its head (no configuration yet, no room) was answered, then its connection was reset once the node had discarded 1 MiB of the body, so the caller could lose the 503 and its Retry-After. Cause: the bound of discarded input was fixed, below the longest body allowed.

--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/CallerConnection.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/http/CallerConnection.java
@@ -295,13 +295,15 @@
     /**
      * Closes the connection after an answer that was sent before the whole request was read.
      *
-     * <p>Shuts down output first, then discards up to 1 MiB of remaining input. Closing with unread
-     * input would reset the connection, and the caller could lose the answer. Ends after four times
-     * {@code lingerMs} by {@link System#nanoTime} whatever arrives.
+     * <p>Shuts down output first, then discards remaining input. Closing with unread input would
+     * reset the connection, and the caller could lose the answer. Ends after four times {@code
+     * lingerMs} by {@link System#nanoTime} whatever arrives.
      *
      * @param lingerMs longest wait for each read of remaining input, in ms
+     * @param maxDiscardedBytes number of bytes of remaining input after which the connection is
+     *     closed nevertheless
      */
-    public void closeAfterAnswer(int lingerMs) {
+    public void closeAfterAnswer(int lingerMs, long maxDiscardedBytes) {
         try {
             long deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(4L * lingerMs);
             socket.shutdownOutput();
@@ -310,7 +312,9 @@
             byte[] discarded = new byte[4096];
             InputStream rest = socket.getInputStream();
             for (int n = rest.read(discarded);
-                    n >= 0 && discardedBytes < 1 << 20 && System.nanoTime() - deadlineNs < 0;
+                    n >= 0
+                            && discardedBytes < maxDiscardedBytes
+                            && System.nanoTime() - deadlineNs < 0;
                     n = rest.read(discarded)) {
                 discardedBytes += n;
             }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/CallerServer.java
@@ -331,6 +331,7 @@
                             connection,
                             request,
                             refusal.get(),
+                            inForce.maxBodyBytes(),
                             () -> draining || !request.persistent());
                 }
             }
--- a/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EarlyRefusals.java
+++ b/skylarkmast-relay/src/main/java/org/skylarkmast/relay/node/EarlyRefusals.java
@@ -19,6 +19,9 @@
     /** Longest body of a rejected request that is read to keep the connection. */
     private static final long MAX_DISCARDED_BODY_BYTES = 64 << 10;
 
+    /** Input that is read after an answer, unless the limits in force allow longer bodies. */
+    private static final long MAX_DISCARDED_INPUT_BYTES = 1 << 20;
+
     /**
      * Retry-After of a request that a configuration still to come may allow, or that finds no room,
      * in seconds.
@@ -41,7 +44,7 @@
                 status == 503 ? fields.with("Retry-After", RETRY_AFTER_S) : fields,
                 (reason + "\n").getBytes(StandardCharsets.UTF_8),
                 true);
-        connection.closeAfterAnswer(LINGER_MS);
+        connection.closeAfterAnswer(LINGER_MS, MAX_DISCARDED_INPUT_BYTES);
         return false;
     }
 
@@ -49,6 +52,7 @@
      * Rejects a request by its head. Reads a short body first, without keeping it, as the
      * connection can serve other requests then.
      *
+     * @param maxBodyBytes longest body that the limits in force allow
      * @param closeAfterAnswer as for {@link RequestServer#serve}
      * @return whether the connection may serve another request
      */
@@ -56,6 +60,7 @@
             CallerConnection connection,
             InboundRequest request,
             RequestServer.HeadRefusal refusal,
+            long maxBodyBytes,
             BooleanSupplier closeAfterAnswer)
             throws IOException {
         boolean keepsConnection =
@@ -64,7 +69,8 @@
                         && !request.expectsContinue();
         if (!keepsConnection) {
             refusal.write(connection, () -> true);
-            connection.closeAfterAnswer(LINGER_MS);
+            connection.closeAfterAnswer(
+                    LINGER_MS, Math.max(MAX_DISCARDED_INPUT_BYTES, maxBodyBytes));
             return false;
         }
         connection.discardBody(((Framing.Length) request.framing()).bytes());
